Watch discovery's list whatever mode the settings name

Rests on: discovery tells of the drain at 5.99 s; the pooler's log says nothing until [8.56] member s- suspected, and strace shows no byte to or from discovery in 22 s. Ruled out by the same trace: a message of discovery that came late or could not be read.

--- a/src/config.rs
+++ b/src/config.rs
@@ -228,7 +228,9 @@
                 .collect()
         };
         let seed = root.need_text("seed")?;
-        let settings = decode(info).map_err(|ConfigError(fault)| format!("in 'settings': {fault}"))?;
+        let mut settings = decode(info).map_err(|ConfigError(fault)| format!("in 'settings': {fault}"))?;
+        // On sockets discovery says nothing unasked, whatever the mode that the settings name.
+        settings.subscribe = true;
         crate::check::check(&settings).map_err(|fault| format!("in 'settings': {fault}"))?;
         let keepalive = info.at("limits").number_or("keepalive", 15.0)?;
         if !(keepalive > 0.0 && keepalive.is_finite()) {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -365,6 +365,22 @@
     assert!(discovery.call().1.contains("follow=1&since=43 "));
 }
 
+#[test]
+fn the_list_is_watched_whatever_mode_the_settings_name() {
+    let db = Db::new();
+    let (pooler, discovery) = with_one(&db, &[(r#""subscribe""#, r#""automatic""#)]);
+    let mut client = client(&pooler);
+    let mut idle = warm(&db, &mut client);
+    let mut watch = discovery.call().0;
+    let draining = db.line("s-1", "here").replace("SERVING", "DRAINING");
+    let text = list(42, false, &[draining]) + "\n";
+    watch.write_all(&[HEAD.as_bytes(), &chunks([text.as_bytes()])].concat()).unwrap();
+    idle.ends();
+    // A machine that drains gets nothing new.
+    client.send(&query(&ask("1", "reports")));
+    assert_eq!(client.error().0, "53300");
+}
+
 #[test]
 fn a_connection_that_the_machine_has_closed_is_not_used_again() {
     let db = Db::new();
