Read who is primary from the list's access

Every entry of the list was handed to the decisions as no primary, so a pooler found it only by single writes sent to one member after another, with all other writes held meanwhile.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -272,5 +272,6 @@
         group: entry.at("group").number()? as u32,
         phase,
         since: entry.at("since_ms").number().unwrap_or(0.0) / 1000.0,
+        primary: entry.at("access").text() == Some("writer"),
     })
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -91,6 +91,8 @@
     phase: Phase,
     /// When it last started (Unix seconds); 0 means long ago.
     since: f64,
+    /// Whether the list takes it for the primary.
+    primary: bool,
 }
 
 /// Something to send to a db machine.
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -271,11 +271,11 @@
     }
 
     fn entry(&self, listing: Listing) -> Entry {
-        let Listing { name, zone, group, phase, since, .. } = listing;
+        let Listing { name, zone, group, phase, since, primary, .. } = listing;
         let known = self.zones.iter().position(|known| *known == zone);
         // A zone that the settings do not name is at least not the own one.
         let zone = known.unwrap_or(self.zones.len());
-        Entry { member: name, zone: zone as u32, group, phase, started_at: since, primary: false }
+        Entry { member: name, zone: zone as u32, group, phase, started_at: since, primary }
     }
 
     /// Reads the configuration again. Only discovery's address is taken from it: the rest is what requests
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -381,6 +381,26 @@
     assert_eq!(client.error().0, "53300");
 }
 
+#[rstest]
+#[case::first("s-1")]
+#[case::second("s-2")]
+fn a_write_goes_straight_to_the_machine_that_the_list_has_as_writer(#[case] writer: &str) {
+    let (one, two, discovery) = (Db::new(), Db::new(), Discovery::new());
+    let line = |db: &Db, name: &str| {
+        let access = if name == writer { "writer" } else { "reader" };
+        db.line(name, "here").replace(r#""since_ms""#, &format!(r#""access":"{access}","since_ms""#))
+    };
+    let known = list(41, true, &[line(&one, "s-1"), line(&two, "s-2")]);
+    let pooler = Pooler::start(&known, &discovery, &[]);
+    let mut client = client(&pooler);
+    client.send(&query(&ask("1", "order-write")));
+    let mut wire = if writer == "s-1" { one.accept() } else { two.accept() };
+    asked(&mut wire);
+    wire.send(&served(VALUE, "writer"));
+    assert_eq!(client.answer()[0].0, b'T');
+    assert!(pooler.counters().contains("sent=1 ok=1"));
+}
+
 #[test]
 fn a_connection_that_the_machine_has_closed_is_not_used_again() {
     let db = Db::new();
