Send long reports on from a busy replica to the next most behind

A replica applies nothing while it holds a long report. They gather on the replica most behind, but the exit of a busy one sent them to the idlest of all: replicas that were idle for being behind, and never caught up. The exit now leads to the next most behind.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -573,10 +573,13 @@
         // are kept for reads that need them. One so long that it could put its replica behind by itself,
         // should it hold up the log there, goes to the one most behind of the group, so that few are held up.
         let behind = |m: &usize| self.members[*m].position < self.now - self.bound;
-        if any && self.latency[class].0 > self.bound && fresh.iter().any(behind) {
-            let place =
-                |a: &&usize, b: &&usize| self.members[**a].position.total_cmp(&self.members[**b].position);
-            local = fresh.iter().min_by(place).copied().into_iter().collect();
+        let gathers = any && self.latency[class].0 > self.bound && fresh.iter().any(behind);
+        if gathers {
+            let mut places = fresh.clone();
+            places.sort_by(|a, b| self.members[*a].position.total_cmp(&self.members[*b].position));
+            // From one that is too busy it goes on to the next most behind: the idlest is idle for catching up.
+            let stays = places.windows(2).position(|pair| !self.exits(pair[0], pair[1]));
+            local = vec![places[stays.unwrap_or(places.len() - 1)]];
         }
         let drawn = |from: &[usize]| {
             let (a, b) = (pair.0 % from.len(), pair.1 % (from.len() - 1).max(1));
@@ -586,7 +589,7 @@
         };
         let idlest = remote.iter().copied().min_by_key(|&m| self.load(m));
         let choice = match (!local.is_empty()).then(|| drawn(&local)) {
-            Some(home) => idlest.filter(|&away| self.exits(home, away)).or(Some(home)),
+            Some(home) => idlest.filter(|&away| !gathers && self.exits(home, away)).or(Some(home)),
             None => (!remote.is_empty()).then(|| drawn(&remote)),
         };
         let mut verdict = Choice::Hold;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -549,18 +549,15 @@
     assert!(reads <= 4, "{reads} sends for five reads that nobody can answer");
 }
 
-/// Incident ic2205a: long reads that hold up the log, spread over the replicas, left few of them fresh.
-#[test]
-fn long_any_reads_gather_on_the_replica_most_behind() {
-    let mut d = Drive::new(settings());
-    d.freshen("r");
+/// Makes plain any reads long, past what may be read: answers each after 3 s, wherever it goes.
+fn learn_long_reads(d: &mut Drive) {
     for i in 0..40 {
         d.pass(0.1);
         d.freshen("r");
-        d.ask(&format!("a{i}"), 3);
-        let goal = sent(&d.acts).last().map(|m| m.to_string()).unwrap();
+        let id = format!("a{i}");
+        let goal = sent(&d.ask(&id, 3))[0].to_string();
         d.feed(Event::Done(Done {
-            id: format!("a{i}").as_str().into(),
+            id: id.as_str().into(),
             member: goal.as_str().into(),
             attempt: 0,
             outcome: Outcome::Ok,
@@ -571,9 +568,31 @@
             report: Report::default(),
         }));
     }
+}
+
+/// Incident ic2205a: long reads that hold up the log, spread over the replicas, left few of them fresh.
+#[test]
+fn long_any_reads_gather_on_the_replica_most_behind() {
+    let mut d = Drive::new(settings());
+    d.freshen("r");
+    learn_long_reads(&mut d);
     assert_eq!(sent(&d.ask("last", 3)), ["far"], "the home replica is fresh, the far one behind");
 }
 
+/// Incident inc9251: the replica most behind was busy with long reads, and the next ones went to whichever was
+/// idle for being behind, and held up its log as well, so that none caught up.
+#[test]
+fn long_any_reads_go_on_to_the_next_most_behind() {
+    let mut d = Drive::new(settings());
+    d.list(ListKind::Incremental, vec![entry("mid", 1, false), entry("calm", 1, false)]);
+    d.freshen("mid");
+    d.pass(1.0);
+    d.freshen("calm");
+    learn_long_reads(&mut d);
+    let goals: Vec<String> = (0..6).map(|i| sent(&d.ask(&format!("b{i}"), 3))[0].to_string()).collect();
+    assert_eq!(goals, ["far", "far", "far", "mid", "far", "mid"]);
+}
+
 /// Incident ife869a: a large fleet that lets a little through at each proxy jams a member together.
 #[test]
 fn what_is_let_through_in_any_case_shrinks_with_the_fleet() {
