--- a/src/policy.rs
+++ b/src/policy.rs
@@ -577,7 +577,7 @@
         if gathers {
             let mut places = fresh.clone();
             places.sort_by(|a, b| self.members[*a].position.total_cmp(&self.members[*b].position));
-            // From one that is too busy it goes on to the next most behind: the idlest is idle for catching up.
+            // From a busy one it goes on to the next most behind: the idlest is idle to catch up.
             let stays = places.windows(2).position(|pair| !self.exits(pair[0], pair[1]));
             local = vec![places[stays.unwrap_or(places.len() - 1)]];
         }
