Pass a long report on to one more replica when the first has no time for it

A long report was offered to one replica and refused where that could not answer in time. It is now offered to the next most behind too.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -579,7 +579,10 @@
             places.sort_by(|a, b| self.members[*a].position.total_cmp(&self.members[*b].position));
             // From a busy one it goes on to the next most behind: the idlest is idle to catch up.
             let stays = places.windows(2).position(|pair| !self.exits(pair[0], pair[1]));
-            local = vec![places[stays.unwrap_or(places.len() - 1)]];
+            let places = &places[stays.unwrap_or(places.len() - 1)..];
+            // One that cannot answer in time is passed over once: were each asked, all would be held up.
+            let able = |m: &&usize| matches!(self.admit(request, **m, 1.0), Choice::To(_));
+            local = vec![*places.iter().take(2).find(able).unwrap_or(&places[0])];
         }
         let drawn = |from: &[usize]| {
             let (a, b) = (pair.0 % from.len(), pair.1 % (from.len() - 1).max(1));
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -593,6 +593,22 @@
     assert_eq!(goals, ["far", "far", "far", "mid", "far", "mid"]);
 }
 
+/// The replica most behind had no time left for a long read while the next most behind had: it was refused. Not
+/// all are asked, or long reads would hold up the log of every one.
+#[test]
+fn a_long_any_read_passes_on_to_one_more_replica_that_has_time() {
+    let mut d = Drive::new(Settings { fleet_size: 8, ..settings() });
+    d.list(ListKind::Incremental, vec![entry("mid", 1, false), entry("calm", 1, false)]);
+    d.freshen("mid");
+    d.pass(1.0);
+    d.freshen("calm");
+    learn_long_reads(&mut d);
+    assert_eq!(sent(&d.ask("b0", 3)), ["far"]);
+    assert_eq!(sent(&d.ask("b1", 3)), ["mid"]);
+    assert_eq!(sent(&d.ask("b2", 3)), ["p"], "the primary has no log to apply");
+    assert_eq!(finals(&d.ask("b3", 3)), 1, "the calm replica is left to the reads that need it");
+}
+
 /// Incident ife869a: a large fleet that lets a little through at each proxy jams a member together.
 #[test]
 fn what_is_let_through_in_any_case_shrinks_with_the_fleet() {
