Lay a statement that a host turns away on the client and not on the host

An error code that blames the statement (syntax, bad data, ...) counted as a fault of the host: the request was repeated there, and the second answer ejected it. One client that asked for a write with a statement that reads took a pooler's primary away for 3.5 s. Now that request ends at once with an error and the host keeps its standing.

Ruled out: a slow primary (it answered 9 writes in the 150 ms before, the other pooler throughout).

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -36,7 +36,7 @@
     pub reloads_failed: u64,
 }
 
-const OUTCOMES: [(Outcome, &str); 9] = [
+const OUTCOMES: [(Outcome, &str); 10] = [
     (Outcome::Ok, "ok"),
     (Outcome::Error, "error"),
     (Outcome::Full, "full"),
@@ -46,6 +46,7 @@
     (Outcome::Cancelled, "cancelled"),
     (Outcome::Moot, "moot"),
     (Outcome::Miss, "miss"),
+    (Outcome::Rejected, "rejected"),
 ];
 
 /// Counts one outcome in `counts`.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -243,12 +243,17 @@
     Moot,
     /// Turned away untouched: not the primary, or too far behind.
     Miss,
+    /// Turned away untouched for what it says, as it would be anywhere: the request's own fault.
+    Rejected,
 }
 
 impl Outcome {
     /// Whether this outcome proves that nothing ran.
     pub fn proves_untouched(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss)
+        matches!(
+            self,
+            Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss | Outcome::Rejected
+        )
     }
 }
 
--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -252,6 +252,12 @@
     (code, fatal)
 }
 
+/// Whether a code lays the fault on the statement, so that it would be turned away by any machine: a feature that
+/// is not there, bad data, a broken constraint, bad syntax or a name that is not known.
+pub(crate) fn blames_statement(code: &str) -> bool {
+    matches!(code.get(..2), Some("0A" | "22" | "23" | "42")) || code == code::VIOLATION
+}
+
 /// Name and value of a ParameterStatus.
 pub(crate) fn parameter(body: &[u8]) -> Option<(&str, &str)> {
     std::str::from_utf8(body)
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -242,16 +242,19 @@
         count(&mut context.counters.attempts, outcome);
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.out = None;
-        let served = outcome == Outcome::Ok;
-        let finished = served || request.client.is_none();
+        let answer = match outcome {
+            Outcome::Ok => Some(Answer::Served(value)),
+            Outcome::Rejected => Some(Answer::Invalid("no db machine takes this statement")),
+            _ => None,
+        };
+        let finished = answer.is_some() || request.client.is_none();
         let done =
             Done { id: id.clone(), member, attempt, outcome, finished, elapsed, position, primary, report };
         // What the answer tells of the machine is taken in before the client can act on the answer.
         let actions = self.decide(interface::Event::Done(done), context);
-        if served {
-            self.answer(&id, Answer::Served(value), context);
-        } else {
-            self.forget(&id);
+        match answer {
+            Some(answer) => self.answer(&id, answer, context),
+            None => self.forget(&id),
         }
         self.carry_out(actions, context);
     }
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -68,6 +68,7 @@
         Some(match self.code.as_deref() {
             Some(code::TURNED_AWAY) => Outcome::Full,
             Some(code::READ_ONLY | code::BEHIND) => Outcome::Miss,
+            Some(code) if pg::blames_statement(code) => Outcome::Rejected,
             Some(_) => Outcome::Error,
             None if self.complete && self.row => Outcome::Ok,
             None => return None,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -686,7 +686,8 @@
         let member = &mut self.members[m];
         member.in_flight = member.in_flight.saturating_sub(1);
         member.ghosts.retain(|until| *until > self.now);
-        if matches!(outcome, Outcome::Ok | Outcome::Full | Outcome::Miss | Outcome::Error) {
+        if matches!(outcome, Outcome::Ok | Outcome::Full | Outcome::Miss | Outcome::Error | Outcome::Rejected)
+        {
             member.heard = self.now;
         }
         member.trial = false;
@@ -734,7 +735,8 @@
                     }
                 }
             }
-            Outcome::Moot => {}
+            // What a client asked wrongly says nothing of the member's health.
+            Outcome::Moot | Outcome::Rejected => {}
         }
         // Refused at once: its process is down, or every connection it will take is held, most of them idle,
         // by a crowd of proxies. This one then holds none idle for a while.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -421,6 +421,28 @@
     assert_eq!(goals.iter().filter(|m| *m == "r").count(), 1, "{goals:?}");
 }
 
+/// Day 1: a client asked for a write with a statement that reads; the primary turned it away, and was ejected.
+#[test]
+fn a_request_that_any_member_would_turn_away_ejects_none() {
+    let mut d = Drive::new(settings());
+    for i in 0..5 {
+        let id = format!("bad{i}");
+        assert_eq!(sent(&d.ask(&id, 0)), ["p"]);
+        d.feed(Event::Done(Done {
+            id: id.as_str().into(),
+            member: "p".into(),
+            attempt: 0,
+            outcome: Outcome::Rejected,
+            finished: true,
+            elapsed: 0.001,
+            position: None,
+            primary: None,
+            report: Report::default(),
+        }));
+    }
+    assert_eq!(sent(&d.ask("good", 0)), ["p"]);
+}
+
 #[test]
 fn suspicion_never_ejects_a_whole_group() {
     let mut d = Drive::new(settings());
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -232,6 +232,31 @@
     assert!(counters.contains(counted), "{counters}");
 }
 
+#[rstest]
+#[case::syntax("42601")]
+#[case::bad_data("22P02")]
+#[case::unsupported("0A000")]
+fn a_statement_that_no_machine_takes_is_the_clients_fault_alone(#[case] code: &str) {
+    let (near, far) = (Db::new(), Db::new());
+    let (pooler, _discovery) = with_two(&near, &far);
+    let mut client = client(&pooler);
+    let mut wire = warm(&near, &mut client);
+    let said = [frame(b'E', format!("SERROR\0C{code}\0\0").as_bytes()), frame(b'Z', b"I")].concat();
+    for n in 0..5 {
+        client.send(&query(&ask(&n.to_string(), "reports")));
+        assert!(asked(&mut wire).contains(&format!("id={n},")));
+        wire.send(&said);
+        assert_eq!(client.error().0, "22023");
+    }
+    // It goes nowhere else, and the machine is as good as before.
+    client.send(&query(&ask("6", "reports")));
+    asked(&mut wire);
+    wire.send(&served(VALUE, "reader"));
+    assert_eq!(client.answer()[0].0, b'T');
+    let counters = pooler.counters();
+    assert!(counters.contains("sent=7 ok=2") && counters.contains("rejected=5"), "{counters}");
+}
+
 #[test]
 fn a_refusal_says_when_to_come_back() {
     let db = Db::new();
