Send a keyed write again when its primary has long passed it over

An overdue attempt was given up only where its member had answered nothing since. A host that serves others and leaves one write without an answer kept it until its client gave up. Such a write is now cancelled and sent there again, inside its window and the budget for repeats.

Ruled out: a slow primary (later writes were served at once), bytes left unread.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -693,6 +693,7 @@
         member.trial = false;
         match outcome {
             Outcome::Ok => {
+                member.served_to = member.served_to.max(sent);
                 member.ratio += SAMPLE * ((elapsed / mean).min(10.0) - member.ratio);
                 let (mean, deviation) = &mut self.latency[class];
                 *deviation += SAMPLE * ((elapsed - *mean).abs() - *deviation);
@@ -829,12 +830,17 @@
                     waiting[attempt.member] += 1;
                 }
                 if attempt.open && !attempt.overdue && age > limit {
-                    let silent = unheard && age > mean + SILENT_DEVIATIONS * deviation;
-                    overdue.push((n, index, attempt.member, silent));
+                    let far = age > mean + SILENT_DEVIATIONS * deviation;
+                    // One that the member has long passed over for others: its answer is not to come. A read
+                    // is not worth the doubt, its time being short; a write has its aim or more to go.
+                    let passed = self.members[attempt.member].served_to - attempt.sent;
+                    let lost =
+                        far && class.effect == Effect::Keyed && passed > mean + SILENT_DEVIATIONS * deviation;
+                    overdue.push((n, index, attempt.member, far && unheard, lost));
                 }
             }
         }
-        for (n, index, m, silent) in overdue {
+        for (n, index, m, silent, lost) in overdue {
             // Silence: not one answer since this was sent. Guards against members that hang or are cut off.
             // A primary has no stand-in: it is ejected once a second attempt is late too, since one
             // connection can fall silent by itself.
@@ -846,9 +852,10 @@
             let Some(request) = self.requests.get_mut(&n).filter(|r| !r.done) else { continue };
             request.attempts[index].overdue |= silent;
             let class = &self.settings.classes[request.class];
-            let time = request.aim_at - self.now > self.latency[request.class].0;
-            let safe = class.effect == Effect::Safe && request.attempts.len() == index + 1;
-            if !safe || !time || self.retries < 1.0 || index > 2 {
+            let cutoff = if lost && class.late_worth > 0.0 { request.deadline } else { request.aim_at };
+            let time = cutoff - self.now > self.latency[request.class].0;
+            let safe = class.effect == Effect::Safe || lost;
+            if !safe || request.attempts.len() != index + 1 || !time || self.retries < 1.0 || index > 2 {
                 continue;
             }
             if self.settings.may_duplicate && class.consistency != Consistency::Fresh {
@@ -856,7 +863,7 @@
                     self.retries -= 1.0;
                     self.send(n, other, out);
                 }
-            } else if silent && self.settings.cancel {
+            } else if (silent || lost) && self.settings.cancel {
                 if let Some(request) = self.requests.get_mut(&n) {
                     request.attempts[index].cancelled = true;
                     out.push(Action::Cancel { id: request.id.clone(), attempt: index });
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,6 +22,8 @@
     pub position_at: f64,
     /// When the last answer came, and the last failure to get one.
     pub heard: f64,
+    /// When the latest sent of the attempts that it has served was sent.
+    pub served_to: f64,
     /// No read on hope before then.
     pub shy_until: f64,
     pub in_flight: u32,
@@ -68,6 +70,7 @@
             back_at: never,
             lost_at: never,
             heard: never,
+            served_to: never,
             sent_at: never,
             ..Member::default()
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -317,6 +317,31 @@
     assert!(next.contains(&Action::Fail { id: "w".into() }));
 }
 
+/// Incident r38b704: one in eight writes had no answer from a primary that served all others, and was waited for
+/// until its client gave up.
+#[test]
+fn a_keyed_write_that_its_primary_has_passed_over_is_sent_again() {
+    let cancelled = |later_are_served: bool| {
+        let mut d = Drive::new(settings());
+        d.ask("lost", 0);
+        for i in 0..20 {
+            d.pass(0.03);
+            if later_are_served {
+                let id = format!("w{i}");
+                d.ask(&id, 0);
+                d.pass(0.01);
+                d.told(&id, "p", 0, Outcome::Ok, Some(true), None);
+            }
+        }
+        let cancel = Action::Cancel { id: "lost".into(), attempt: 0 };
+        (d.acts.contains(&cancel), d)
+    };
+    let (given_up, mut d) = cancelled(true);
+    assert!(given_up);
+    assert_eq!(sent(&d.answer("lost", "p", 0, Outcome::Cancelled)), ["p"], "inside its window");
+    assert!(!cancelled(false).0, "a silent primary may be slow: its writes are not sent twice");
+}
+
 #[test]
 fn never_two_attempts_out_where_they_may_not_be() {
     let mut d = Drive::new(settings());
