--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,6 +1,6 @@
 //! Every decision of dewferry. Its types, events and actions stand in `src/interface.rs`.
 //!
-//! The ordinary path (docs/design.md): writes and fresh reads go to the primary of their group; other
+//! The ordinary path: writes and fresh reads go to the primary of their group; other
 //! reads to a fresh enough replica in the own zone, then in other zones, then to the primary.
 
 use crate::check::{check, SettingsError};
