--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,5 +1,6 @@
 //! The clients' side: takes connections in, reads queries off them and writes the answers.
 
+use std::collections::VecDeque;
 use std::fmt;
 use std::io;
 use std::net::Shutdown;
@@ -28,6 +29,8 @@
 /// Most messages taken off a connection before the others have their turn. Guards against a client that sends
 /// faster than it can be told that it sends rubbish.
 const TURN: usize = 32;
+/// Most times of arrival kept for what a client has sent ahead; further bytes count as come with the last.
+const ARRIVALS: usize = 64;
 /// What keeps new clients out is logged again only after so long without (seconds): it comes and goes.
 const QUIET: f64 = 10.0;
 
@@ -57,6 +60,8 @@
 struct Conn {
     stream: TcpStream,
     inbox: Ring,
+    /// Up to which byte the input had come, and when: what waits behind another query ages meanwhile.
+    arrivals: VecDeque<(u64, f64)>,
     outbox: Ring,
     stage: Stage,
     /// After an error in the extended protocol everything up to Sync is passed over.
@@ -82,6 +87,7 @@
             if fill == Fill::Ended {
                 return Err(Over);
             }
+            self.stamp();
             let before = self.inbox.len();
             self.understand(slot, serving, context)?;
             if self.more {
@@ -109,6 +115,30 @@
         Ok(())
     }
 
+    /// Notes when what has just been read came in.
+    fn stamp(&mut self) {
+        let (received, taken) = (self.inbox.received(), self.inbox.taken());
+        while self.arrivals.front().is_some_and(|(upto, _)| *upto <= taken) {
+            self.arrivals.pop_front();
+        }
+        let full = self.arrivals.len() >= ARRIVALS;
+        match self.arrivals.back_mut() {
+            Some((upto, _)) if full => *upto = received,
+            Some((upto, _)) if *upto == received => {}
+            _ if received == taken => {}
+            _ => self.arrivals.push_back((received, self.active)),
+        }
+    }
+
+    /// When the last byte of the message that has just been taken came in.
+    fn arrived(&mut self) -> f64 {
+        let taken = self.inbox.taken();
+        while self.arrivals.front().is_some_and(|(upto, _)| *upto < taken) {
+            self.arrivals.pop_front();
+        }
+        self.arrivals.front().map_or(self.active, |(_, at)| *at)
+    }
+
     /// Takes message by message. The next is looked at only when the answers so far are written: a client
     /// that sends and does not read gets no further than its buffers.
     fn understand(&mut self, slot: Slot, serving: bool, context: &mut Context) -> Result<(), Over> {
@@ -188,6 +218,7 @@
                 Ok(Asked::Nothing) if serving => self.empty()?,
                 Ok(Asked::Nothing) => self.stage = Stage::Unready,
                 Ok(Asked::Query(mut query)) => {
+                    query.arrived = self.arrived();
                     // Guards against many statements that are each within their bound and together are not.
                     let Ok(charge) = self.inbox.charge(query.statement.len()) else {
                         context.counters.refused += 1;
@@ -374,6 +405,7 @@
         let conn = Conn {
             stream,
             inbox,
+            arrivals: VecDeque::new(),
             outbox,
             stage: Stage::Startup,
             skipping: false,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -51,8 +51,10 @@
     class: String,
     tenant: String,
     group: u32,
-    /// How long the client will wait (seconds).
+    /// How long the client will wait from when it was sent (seconds).
     patience: f64,
+    /// When its last byte came in.
+    arrived: f64,
     keyed: bool,
     repeat: bool,
     /// The quoted key, where there is one: names the session.
--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -341,6 +341,7 @@
         tenant: need(tenant).unwrap_or_default(),
         group,
         patience: millis.ok_or("d is not a number of milliseconds above 0")? as f64 / 1000.0,
+        arrived: 0.0,
         keyed: keyed.is_some(),
         repeat: repeat.is_some_and(|(value, _)| value == "1"),
         key: rest.split('\'').nth(1).filter(|_| rest.matches('\'').count() >= 2).map(String::from),
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -188,7 +188,8 @@
             id: id.clone(),
             class,
             group: query.group,
-            left: query.patience,
+            // It has waited since it came, be it behind others of its connection.
+            left: query.patience - (context.reactor.now() - query.arrived),
             token_age: None,
             session: query.key.filter(|_| sessions).map(Into::into),
             tenant: tenant.unwrap_or(self.tenants.len()),
--- a/src/net/ring.rs
+++ b/src/net/ring.rs
@@ -79,12 +79,14 @@
     buffer: Vec<u8>,
     head: usize,
     len: usize,
+    /// How many bytes have come in ever.
+    received: u64,
     charge: Charge,
 }
 
 impl Ring {
     pub fn new(budget: &Budget) -> Self {
-        Ring { buffer: Vec::new(), head: 0, len: 0, charge: budget.charge() }
+        Ring { buffer: Vec::new(), head: 0, len: 0, received: 0, charge: budget.charge() }
     }
 
     /// So many bytes more of the same budget, for something that was in this buffer.
@@ -97,6 +99,16 @@
         self.len
     }
 
+    /// How many bytes have been read into it ever.
+    pub fn received(&self) -> u64 {
+        self.received
+    }
+
+    /// How many of them have been taken out again.
+    pub fn taken(&self) -> u64 {
+        self.received - self.len as u64
+    }
+
     pub fn is_empty(&self) -> bool {
         self.len == 0
     }
@@ -128,7 +140,10 @@
             let end = if tail < self.head { self.head } else { size };
             match source.read(&mut self.buffer[tail..end]) {
                 Ok(0) => return Ok(Fill::Ended),
-                Ok(count) => self.len += count,
+                Ok(count) => {
+                    self.len += count;
+                    self.received += count as u64;
+                }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     self.release();
                     return Ok(Fill::Drained);
@@ -165,6 +180,7 @@
         self.buffer[tail..tail + first].copy_from_slice(&bytes[..first]);
         self.buffer[..bytes.len() - first].copy_from_slice(&bytes[first..]);
         self.len += bytes.len();
+        self.received += bytes.len() as u64;
         Ok(())
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -280,6 +280,35 @@
     wire.ends();
 }
 
+/// A query behind another of its connection was given its whole time anew when its turn came, and so went out
+/// after its client had given it up.
+#[test]
+fn the_time_of_a_query_runs_while_it_waits_behind_another() {
+    let db = Db::new();
+    let (pooler, _discovery) = with_one(&db, &[]);
+    let (mut ahead, mut other) = (client(&pooler), client(&pooler));
+    ahead.send(&query(&ask("1", "reports")));
+    let mut wire = db.accept();
+    asked(&mut wire);
+    ahead.send(&[query(&ask("2", "reports").replace("d=8500", "d=400")), query(&ask("3", "reports"))].concat());
+    pooler.counters();
+    // What came later with the same time to wait has run out: so has the second.
+    other.send(&query(&ask("4", "reports").replace("d=8500", "d=400")));
+    let mut silent = db.accept();
+    asked(&mut silent);
+    assert_eq!(other.error().0, "53300");
+    wire.send(&served(VALUE, "reader"));
+    assert_eq!(ahead.answer()[0].0, b'T');
+    assert_eq!(ahead.error().0, "53300");
+    // The machine gets the third next, and is told no more time than its client has left.
+    let third = asked(&mut wire);
+    let d: u64 = third.split_once(",d=").unwrap().1.split(',').next().unwrap().parse().unwrap();
+    assert!(third.contains("id=3,") && d <= 8100, "{third}");
+    wire.send(&served(VALUE, "reader"));
+    assert_eq!(ahead.answer()[0].0, b'T');
+    assert!(pooler.counters().contains(" sent=3 "));
+}
+
 #[test]
 fn an_id_that_is_in_use_is_not_taken_twice() {
     let db = Db::new();
