--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -290,10 +290,12 @@
     ahead.send(&query(&ask("1", "reports")));
     let mut wire = db.accept();
     asked(&mut wire);
-    ahead.send(&[query(&ask("2", "reports").replace("d=8500", "d=400")), query(&ask("3", "reports"))].concat());
+    ahead.send(
+        &[query(&ask("2", "reports").replace("d=8500", "d=400")), query(&ask("3", "reports"))].concat(),
+    );
     pooler.counters();
-    // What came later with the same time to wait has run out: so has the second.
-    other.send(&query(&ask("4", "reports").replace("d=8500", "d=400")));
+    // What came later and may wait for longer has run out: so has the second.
+    other.send(&query(&ask("4", "reports").replace("d=8500", "d=500")));
     let mut silent = db.accept();
     asked(&mut silent);
     assert_eq!(other.error().0, "53300");
