--- a/src/config.rs
+++ b/src/config.rs
@@ -12,7 +12,7 @@
 use crate::net::{discovery, News};
 
 /// Deepest nesting of JSON that is read. Guards the stack: the parser calls itself once a level.
-const DEEPEST: usize = 32;
+pub(crate) const DEEPEST: usize = 32;
 
 /// Why a configuration cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -8,18 +8,23 @@
 use super::event_loop::{Due, Slot, Slots, Source};
 use super::ring::{Budget, Fill, Ring};
 use super::{Context, Event, Listing, News};
-use crate::config::{json, Node};
+use crate::config::{json, Node, DEEPEST};
 use crate::interface::{ListKind, Phase};
 
 const PATH: &str = "/catalog/members";
-/// A watch that says nothing for so long is given up (seconds): an empty line is due every 2 s.
-const SILENCE: f64 = 5.0;
+/// What a watch misses counts as told 6 s after it fell silent. So one that says nothing for so long is given up
+/// (seconds; an empty line is due every 2 s) ...
+const SILENCE: f64 = 2.8;
+/// ... and so is a call whose head does not come, which the agent would send at once, ...
+const OPENING: f64 = 1.0;
+/// ... and one on which a list has begun and does not end.
+const LISTING: f64 = 2.8;
 /// Most header fields of an answer that are looked at.
 const FIELDS: usize = 32;
-/// Longest head of an answer, longest line that gives a chunk's size, and longest line of a watch.
+/// Longest head of an answer, longest line that gives a chunk's size, and longest list.
 const LONGEST_HEAD: usize = 8 * 1024;
 const LONGEST_SIZE: usize = 256;
-const LONGEST_LINE: usize = 1024 * 1024;
+const LONGEST_LIST: usize = 1024 * 1024;
 
 const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
@@ -37,20 +42,78 @@
 /// The watch is of no further use; why, for the log.
 type Broken = &'static str;
 
+/// Something whole that has come over a watch.
+#[derive(Debug, PartialEq, Eq)]
+enum Word {
+    /// Nothing has changed.
+    Empty,
+    /// The text of a list.
+    List(Vec<u8>),
+}
+
+/// Cuts what comes over a watch into lists, which may be indented over many lines, and empty lines.
+#[derive(Default)]
+struct Cutter {
+    list: Vec<u8>,
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
+}
+
+impl Cutter {
+    fn take(&mut self, bytes: &[u8], words: &mut Vec<Word>) -> Result<(), Broken> {
+        for byte in bytes {
+            if self.depth == 0 && *byte != b'{' {
+                match byte {
+                    b'\n' => words.push(Word::Empty),
+                    b' ' | b'\t' | b'\r' => {}
+                    _ => return Err("a line that is no list"),
+                }
+                continue;
+            }
+            self.list.push(*byte);
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.quoted => self.escaped = true,
+                b'"' => self.quoted = !self.quoted,
+                b'{' | b'[' if !self.quoted => self.depth += 1,
+                b'}' | b']' if !self.quoted => self.depth -= 1,
+                _ => {}
+            }
+            if self.depth == 0 {
+                words.push(Word::List(std::mem::take(&mut self.list)));
+            } else if self.depth > DEEPEST || self.list.len() > LONGEST_LIST {
+                return Err("a list too long or nested too deep");
+            }
+        }
+        Ok(())
+    }
+}
+
 struct Watch {
     stream: TcpStream,
     inbox: Ring,
     outbox: Ring,
     part: Part,
-    line: Vec<u8>,
+    cutter: Cutter,
     /// Whether any news, or word that there is none, has come over it.
     told: bool,
     heard: f64,
+    /// Since when a list has been coming that is not whole yet.
+    begun: Option<f64>,
 }
 
 impl Watch {
-    /// Reads and writes as far as it goes; the lines that are whole.
-    fn turn(&mut self, lines: &mut Vec<Vec<u8>>) -> Result<(), Broken> {
+    /// When it has been silent for too long, if nothing comes until then.
+    fn until(&self) -> f64 {
+        match self.part {
+            Part::Head => self.heard + OPENING,
+            _ => self.begun.map_or(f64::INFINITY, |since| since + LISTING).min(self.heard + SILENCE),
+        }
+    }
+
+    /// Reads and writes as far as it goes; what is whole.
+    fn turn(&mut self, words: &mut Vec<Word>) -> Result<(), Broken> {
         if self.stream.peer_addr().is_err() {
             return match self.stream.take_error() {
                 Ok(None) => Ok(()),
@@ -61,7 +124,7 @@
         loop {
             let fill = self.inbox.fill(&mut self.stream).map_err(|_| "the connection broke")?;
             let before = self.inbox.len();
-            while self.part(lines)? {}
+            while self.part(words)? {}
             match fill {
                 Fill::Ended => return Err("the watch ended"),
                 Fill::Drained => return Ok(()),
@@ -72,7 +135,7 @@
     }
 
     /// Takes the next part of the answer; false when it is not all there.
-    fn part(&mut self, lines: &mut Vec<Vec<u8>>) -> Result<bool, Broken> {
+    fn part(&mut self, words: &mut Vec<Word>) -> Result<bool, Broken> {
         match self.part {
             Part::Head => {
                 let head = self.inbox.first(LONGEST_HEAD);
@@ -80,15 +143,21 @@
                 let mut response = httparse::Response::new(&mut fields);
                 match response.parse(&head) {
                     Ok(httparse::Status::Complete(length)) => {
-                        let chunked = response.headers.iter().any(|field| {
-                            field.name.eq_ignore_ascii_case("transfer-encoding")
-                                && field.value.eq_ignore_ascii_case(b"chunked")
-                        });
-                        if response.code != Some(200) || !chunked {
+                        let field = |name: &str| {
+                            let mut fields = response.headers.iter();
+                            fields
+                                .find(|field| field.name.eq_ignore_ascii_case(name))
+                                .map(|field| field.value)
+                        };
+                        let coding = field("transfer-encoding");
+                        let chunked = coding.is_some_and(|coding| coding.eq_ignore_ascii_case(b"chunked"));
+                        let sized = field("content-length").is_some() || coding.is_some();
+                        if response.code != Some(200) || !chunked && sized {
                             return Err("the call was turned down");
                         }
+                        // What has no length goes on until the connection ends.
+                        self.part = if chunked { Part::Size } else { Part::Chunk(u64::MAX) };
                         self.inbox.skip(length);
-                        self.part = Part::Size;
                         Ok(true)
                     }
                     Ok(httparse::Status::Partial) if head.len() < LONGEST_HEAD => Ok(false),
@@ -112,15 +181,7 @@
                 let bytes = self.inbox.take(usize::try_from(left).unwrap_or(usize::MAX));
                 let left = left - bytes.len() as u64;
                 self.part = if left == 0 { Part::End } else { Part::Chunk(left) };
-                for piece in bytes.split_inclusive(|byte| *byte == b'\n') {
-                    self.line.extend(piece);
-                    if piece.ends_with(b"\n") {
-                        lines.push(std::mem::take(&mut self.line));
-                    }
-                }
-                if self.line.len() > LONGEST_LINE {
-                    return Err("a line too long");
-                }
+                self.cutter.take(&bytes, words)?;
                 Ok(left == 0)
             }
             Part::End => match self.inbox.peek() {
@@ -176,8 +237,9 @@
             "GET {PATH}?follow=1&since={index} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
         );
         let pushed = outbox.push(request.as_bytes());
-        let (inbox, line) = (Ring::new(&self.budget), Vec::new());
-        let watch = Watch { stream, inbox, outbox, part: Part::Head, line, told: false, heard };
+        let (inbox, cutter) = (Ring::new(&self.budget), Cutter::default());
+        let watch =
+            Watch { stream, inbox, outbox, part: Part::Head, cutter, told: false, heard, begun: None };
         let slot = self.watches.insert(watch);
         self.current = Some(slot);
         let Some(watch) = self.watches.get_mut(slot) else { return };
@@ -186,7 +248,7 @@
         if pushed.is_err() || registered.is_err() {
             return self.failed("no connection", context);
         }
-        context.reactor.timer(heard + SILENCE, Due::Discovery(slot));
+        context.reactor.timer(heard + OPENING, Due::Discovery(slot));
     }
 
     fn failed(&mut self, why: Broken, context: &mut Context) {
@@ -202,26 +264,31 @@
     /// The watch may be read from or written to.
     pub fn ready(&mut self, slot: Slot, context: &mut Context) {
         let Some(watch) = self.watches.get_mut(slot) else { return };
-        let mut lines = Vec::new();
-        let mut result = watch.turn(&mut lines);
-        if !lines.is_empty() {
-            watch.heard = context.reactor.now();
+        let now = context.reactor.now();
+        let (received, mut words) = (watch.inbox.received(), Vec::new());
+        let mut result = watch.turn(&mut words);
+        if watch.part != Part::Head && watch.inbox.received() > received {
+            watch.heard = now;
+        }
+        if watch.cutter.depth == 0 {
+            watch.begun = None;
+        } else if watch.begun.is_none() || !words.is_empty() {
+            watch.begun = Some(now);
         }
-        for line in lines {
+        for word in words {
             self.trouble = None;
-            let Ok(text) = std::str::from_utf8(&line) else {
-                result = Err("a line that is not text");
-                break;
-            };
-            if text.trim().is_empty() {
+            let Word::List(text) = word else {
                 // Nothing has changed since the list held: that, too, answers the call.
                 if !std::mem::replace(&mut watch.told, true) {
                     context.events.push_back(Event::Members(ListKind::Incremental, Vec::new()));
                 }
                 continue;
-            }
-            let Some(news) = json(text).ok().and_then(|value| news(Node::new(&value))) else {
-                result = Err("a line that is no list");
+            };
+            let value = std::str::from_utf8(&text).ok().and_then(|text| json(text).ok());
+            // A list with an entry that cannot be read is not taken at all: what is left of a whole list
+            // would say that the host is gone.
+            let Some(news) = value.and_then(|value| news(Node::new(&value))).filter(|news| news.sound) else {
+                result = Err("a list that cannot be read");
                 break;
             };
             (watch.told, self.index) = (true, news.index);
@@ -235,8 +302,10 @@
 
     /// Looks whether the watch has been silent for too long: one that is cut off would stay open for ever.
     pub fn due(&mut self, slot: Slot, context: &mut Context) {
+        // What has arrived by now still counts, though its event has not been taken up yet.
+        self.ready(slot, context);
         let Some(watch) = self.watches.get_mut(slot) else { return };
-        let until = watch.heard + SILENCE;
+        let until = watch.until();
         if context.reactor.now() >= until {
             self.failed("silent", context);
         } else {
@@ -246,13 +315,15 @@
 }
 
 /// Reads one message of the list; none where it is not of the agreed form. A single entry that cannot be
-/// read is left out: the others are of use without it.
+/// read is left out, and the message is not sound.
 pub(crate) fn news(root: Node) -> Option<News> {
-    let listings = root.at("endpoints").items()?.iter().filter_map(|entry| listing(Node::new(entry)));
+    let entries = root.at("endpoints").items()?;
+    let listings: Vec<Listing> = entries.iter().filter_map(|entry| listing(Node::new(entry))).collect();
     Some(News {
         index: root.at("index").number()? as u64,
         whole: root.at("snapshot").flag(),
-        listings: listings.collect(),
+        sound: listings.len() == entries.len(),
+        listings,
     })
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -80,6 +80,8 @@
 pub(crate) struct News {
     index: u64,
     whole: bool,
+    /// Whether every entry could be read.
+    sound: bool,
     listings: Vec<Listing>,
 }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -4,7 +4,8 @@
 mod peers;
 
 use std::io::Write;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::net::TcpStream;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use peers::*;
 use rstest::rstest;
@@ -421,6 +422,104 @@
     assert!(discovery.call().1.contains("follow=1&since=43 "));
 }
 
+/// The list in which the machine drains, and that it is told well within the 6 s after which it counts as told.
+fn told_of_the_drain(watch: &mut TcpStream, list: &str, idle: &mut Wire, since: Instant) {
+    watch.write_all(&[HEAD.as_bytes(), &chunks([list.as_bytes()])].concat()).unwrap();
+    idle.ends();
+    assert!(since.elapsed() < Duration::from_secs(5), "{:?}", since.elapsed());
+}
+
+fn draining(db: &Db) -> String {
+    list(42, false, &[db.line("s-1", "here").replace("SERVING", "DRAINING")]) + "\n"
+}
+
+/// A watch, or a call, that said nothing more was waited for up to 5 s, and the next call came up to 1.9 s later.
+#[rstest]
+#[case::no_head("")]
+#[case::half_a_head(&HEAD[..30])]
+#[case::nothing_behind_the_head(HEAD)]
+#[case::an_empty_line(&[HEAD, "1\r\n\n\r\n"].concat())]
+#[case::half_a_list(&[HEAD, "9\r\n{\"index\":\r\n"].concat())]
+fn a_watch_that_falls_silent_is_opened_anew_in_time(#[case] said: &str) {
+    let db = Db::new();
+    let (pooler, discovery) = with_one(&db, &[]);
+    let mut idle = warm(&db, &mut client(&pooler));
+    let mut silent = discovery.call().0;
+    silent.write_all(said.as_bytes()).unwrap();
+    let since = Instant::now();
+    told_of_the_drain(&mut discovery.call().0, &draining(&db), &mut idle, since);
+}
+
+/// A list that arrives in drops, so that the watch is never silent for long, has its time too.
+#[test]
+fn a_list_that_does_not_end_is_given_up_in_time() {
+    let db = Db::new();
+    let (pooler, discovery) = with_one(&db, &[]);
+    let mut idle = warm(&db, &mut client(&pooler));
+    let mut slow = discovery.call().0;
+    slow.write_all(HEAD.as_bytes()).unwrap();
+    slow.write_all(&chunks([&b"{"[..]])).unwrap();
+    let since = Instant::now();
+    let mut usual = client(&pooler);
+    // As often as the pooler answers someone.
+    std::thread::spawn(move || {
+        while slow.write_all(&chunks([&b" "[..]])).is_ok() {
+            usual.send(&query(""));
+            usual.answer();
+        }
+    });
+    told_of_the_drain(&mut discovery.call().0, &draining(&db), &mut idle, since);
+}
+
+#[rstest]
+#[case::whole(1_000_000)]
+#[case::in_odd_pieces(7)]
+fn a_list_may_be_indented(#[case] piece: usize) {
+    let db = Db::new();
+    let (pooler, discovery) = with_one(&db, &[]);
+    let mut idle = warm(&db, &mut client(&pooler));
+    let text = draining(&db).replace('{', "{\n  ").replace(',', ",\r\n\t").replace('}', "\n}");
+    let mut watch = discovery.call().0;
+    watch.write_all(HEAD.as_bytes()).unwrap();
+    chunks(text.as_bytes().chunks(piece)).chunks(piece).for_each(|bytes| watch.write_all(bytes).unwrap());
+    idle.ends();
+    assert!(pooler.counters().contains(" lists=2 lists_failed=0"));
+}
+
+#[test]
+fn a_watch_without_a_length_goes_on_until_it_ends() {
+    let db = Db::new();
+    let (pooler, discovery) = with_one(&db, &[]);
+    let mut idle = warm(&db, &mut client(&pooler));
+    let mut watch = discovery.call().0;
+    watch.write_all(["HTTP/1.1 200 OK\r\n\r\n\n", &draining(&db)].concat().as_bytes()).unwrap();
+    idle.ends();
+    drop(watch);
+    assert!(discovery.call().1.contains("since=42 "));
+}
+
+/// A whole list with an entry that could not be read was taken without it, which said that the host was gone.
+#[rstest]
+#[case::a_status("SERVING", "ODD")]
+#[case::an_address("127.0.0.1", "localhost")]
+#[case::a_group(r#""group":2"#, r#""group":"two""#)]
+fn a_list_that_cannot_be_read_changes_nothing(#[case] from: &str, #[case] to: &str) {
+    let (one, two) = (Db::new(), Db::new());
+    let (pooler, discovery) = with_two(&one, &two);
+    let mut client = client(&pooler);
+    let mut wire = warm(&one, &mut client);
+    let (mut watch, line) = discovery.call();
+    assert!(line.contains("since=41 "));
+    let odd = list(43, true, &[one.line("s-1", "here").replace(from, to), two.line("s-2", "there")]) + "\n";
+    watch.write_all(&[HEAD.as_bytes(), &chunks([odd.as_bytes()])].concat()).unwrap();
+    // The watch is opened anew from the list held, and the machine goes on.
+    assert!(discovery.call().1.contains("since=41 "));
+    client.send(&query(&ask("1", "reports")));
+    assert!(asked(&mut wire).contains("id=1,"));
+    wire.send(&served(VALUE, "reader"));
+    assert_eq!(client.answer()[0].0, b'T');
+}
+
 #[test]
 fn the_list_is_watched_whatever_mode_the_settings_name() {
     let db = Db::new();
@@ -428,9 +527,7 @@
     let mut client = client(&pooler);
     let mut idle = warm(&db, &mut client);
     let mut watch = discovery.call().0;
-    let draining = db.line("s-1", "here").replace("SERVING", "DRAINING");
-    let text = list(42, false, &[draining]) + "\n";
-    watch.write_all(&[HEAD.as_bytes(), &chunks([text.as_bytes()])].concat()).unwrap();
+    watch.write_all(&[HEAD.as_bytes(), &chunks([draining(&db).as_bytes()])].concat()).unwrap();
     idle.ends();
     // A machine that drains gets nothing new.
     client.send(&query(&ask("1", "reports")));
