--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -44,28 +44,28 @@
 
 /// Something whole that has come over a watch.
 #[derive(Debug, PartialEq, Eq)]
-enum Word {
+enum Update {
     /// Nothing has changed.
-    Empty,
+    Heartbeat,
     /// The text of a list.
     List(Vec<u8>),
 }
 
-/// Cuts what comes over a watch into lists, which may be indented over many lines, and empty lines.
+/// Decodes what comes over a watch: lists, which may be indented over many lines, and empty lines.
 #[derive(Default)]
-struct Cutter {
+struct Decoder {
     list: Vec<u8>,
     depth: usize,
     quoted: bool,
     escaped: bool,
 }
 
-impl Cutter {
-    fn take(&mut self, bytes: &[u8], words: &mut Vec<Word>) -> Result<(), Broken> {
+impl Decoder {
+    fn take(&mut self, bytes: &[u8], updates: &mut Vec<Update>) -> Result<(), Broken> {
         for byte in bytes {
             if self.depth == 0 && *byte != b'{' {
                 match byte {
-                    b'\n' => words.push(Word::Empty),
+                    b'\n' => updates.push(Update::Heartbeat),
                     b' ' | b'\t' | b'\r' => {}
                     _ => return Err("a line that is no list"),
                 }
@@ -81,7 +81,7 @@
                 _ => {}
             }
             if self.depth == 0 {
-                words.push(Word::List(std::mem::take(&mut self.list)));
+                updates.push(Update::List(std::mem::take(&mut self.list)));
             } else if self.depth > DEEPEST || self.list.len() > LONGEST_LIST {
                 return Err("a list too long or nested too deep");
             }
@@ -95,7 +95,7 @@
     inbox: Ring,
     outbox: Ring,
     part: Part,
-    cutter: Cutter,
+    decoder: Decoder,
     /// Whether any news, or word that there is none, has come over it.
     told: bool,
     heard: f64,
@@ -113,7 +113,7 @@
     }
 
     /// Reads and writes as far as it goes; what is whole.
-    fn turn(&mut self, words: &mut Vec<Word>) -> Result<(), Broken> {
+    fn turn(&mut self, updates: &mut Vec<Update>) -> Result<(), Broken> {
         if self.stream.peer_addr().is_err() {
             return match self.stream.take_error() {
                 Ok(None) => Ok(()),
@@ -124,7 +124,7 @@
         loop {
             let fill = self.inbox.fill(&mut self.stream).map_err(|_| "the connection broke")?;
             let before = self.inbox.len();
-            while self.part(words)? {}
+            while self.part(updates)? {}
             match fill {
                 Fill::Ended => return Err("the watch ended"),
                 Fill::Drained => return Ok(()),
@@ -135,7 +135,7 @@
     }
 
     /// Takes the next part of the answer; false when it is not all there.
-    fn part(&mut self, words: &mut Vec<Word>) -> Result<bool, Broken> {
+    fn part(&mut self, updates: &mut Vec<Update>) -> Result<bool, Broken> {
         match self.part {
             Part::Head => {
                 let head = self.inbox.first(LONGEST_HEAD);
@@ -181,7 +181,7 @@
                 let bytes = self.inbox.take(usize::try_from(left).unwrap_or(usize::MAX));
                 let left = left - bytes.len() as u64;
                 self.part = if left == 0 { Part::End } else { Part::Chunk(left) };
-                self.cutter.take(&bytes, words)?;
+                self.decoder.take(&bytes, updates)?;
                 Ok(left == 0)
             }
             Part::End => match self.inbox.peek() {
@@ -237,9 +237,9 @@
             "GET {PATH}?follow=1&since={index} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
         );
         let pushed = outbox.push(request.as_bytes());
-        let (inbox, cutter) = (Ring::new(&self.budget), Cutter::default());
+        let (inbox, decoder) = (Ring::new(&self.budget), Decoder::default());
         let watch =
-            Watch { stream, inbox, outbox, part: Part::Head, cutter, told: false, heard, begun: None };
+            Watch { stream, inbox, outbox, part: Part::Head, decoder, told: false, heard, begun: None };
         let slot = self.watches.insert(watch);
         self.current = Some(slot);
         let Some(watch) = self.watches.get_mut(slot) else { return };
@@ -265,19 +265,19 @@
     pub fn ready(&mut self, slot: Slot, context: &mut Context) {
         let Some(watch) = self.watches.get_mut(slot) else { return };
         let now = context.reactor.now();
-        let (received, mut words) = (watch.inbox.received(), Vec::new());
-        let mut result = watch.turn(&mut words);
+        let (received, mut updates) = (watch.inbox.received(), Vec::new());
+        let mut result = watch.turn(&mut updates);
         if watch.part != Part::Head && watch.inbox.received() > received {
             watch.heard = now;
         }
-        if watch.cutter.depth == 0 {
+        if watch.decoder.depth == 0 {
             watch.begun = None;
-        } else if watch.begun.is_none() || !words.is_empty() {
+        } else if watch.begun.is_none() || !updates.is_empty() {
             watch.begun = Some(now);
         }
-        for word in words {
+        for update in updates {
             self.trouble = None;
-            let Word::List(text) = word else {
+            let Update::List(text) = update else {
                 // Nothing has changed since the list held: that, too, answers the call.
                 if !std::mem::replace(&mut watch.told, true) {
                     context.events.push_back(Event::Members(ListKind::Incremental, Vec::new()));
