--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -70,6 +70,8 @@
     asked: bool,
     /// There may be more to read, which no event will announce.
     more: bool,
+    /// Whether the sending has been ended.
+    shut: bool,
     /// When it was last heard of.
     active: f64,
     /// Since when something has been due from the client: a first query, the rest of a message, or that it
@@ -278,7 +280,8 @@
             // Who reads slowly reads all the same: its time starts anew.
             self.owing = None;
         }
-        if written && self.stage == Stage::Ending {
+        if written && self.stage == Stage::Ending && !std::mem::replace(&mut self.shut, true) {
+            // Once: each time wakes the poll for this connection, which would then turn without pause.
             // Ends the sending only: closing with input unread would reset the connection, and the client
             // might lose the message that says why.
             let _ = self.stream.shutdown(Shutdown::Write);
@@ -411,6 +414,7 @@
             skipping: false,
             asked: false,
             more: false,
+            shut: false,
             active,
             owing: None,
         };
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -91,6 +91,14 @@
         self.logged("taken=")
     }
 
+    /// Processor time taken so far, as the kernel tells it: in hundredths, in the 14th and 15th field.
+    #[cfg(target_os = "linux")]
+    pub fn processor_seconds(&self) -> f64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        let fields = text.rsplit(')').next().unwrap().split_whitespace();
+        fields.skip(11).take(2).map(|ticks| ticks.parse::<f64>().unwrap() / 100.0).sum()
+    }
+
     pub fn ended(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
@@ -147,6 +155,11 @@
         (field('C').unwrap(), field('D'))
     }
 
+    /// Waits for the end of the connection, with nothing before it, and not by a reset.
+    pub fn ends_in_order(&mut self) {
+        assert_eq!(self.0.read(&mut [0]).expect("no reset"), 0);
+    }
+
     /// Waits for the end of the connection, with nothing before it.
     pub fn ends(&mut self) {
         match self.0.read(&mut [0]) {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -118,6 +118,23 @@
     warm(&db, &mut client(&pooler));
 }
 
+/// Ending the sending again and again woke the poll each time: a connection in its last second took a whole core.
+#[test]
+#[cfg(target_os = "linux")]
+fn a_connection_that_is_being_ended_takes_no_processor_time() {
+    let db = Db::new();
+    let (pooler, _discovery) = with_one(&db, &[]);
+    let mut broken: Vec<Wire> = (0..4).map(|_| client(&pooler)).collect();
+    for wire in &mut broken {
+        wire.send(&[b'Q', 0, 0, 0, 3]);
+        assert_eq!(wire.error().0, "08P01");
+        wire.ends_in_order();
+    }
+    // They stay, and one who comes now and does not ask is ended after all of them.
+    client(&pooler).ends();
+    assert!(pooler.processor_seconds() < 0.5, "{} s", pooler.processor_seconds());
+}
+
 #[test]
 fn the_empty_query_is_answered_once_there_is_a_list() {
     let (db, discovery) = (Db::new(), Discovery::new());
