--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -26,6 +26,8 @@
 const RESTING: f64 = 2.0;
 const RESTING_CROWDED: f64 = 0.2;
 const SWEEP: f64 = 0.1;
+/// When a client that is turned away by a pooler that ends may come again (milliseconds): another takes it then.
+const COME_AGAIN_MS: &str = "50";
 /// Most messages taken off a connection before the others have their turn. Guards against a client that sends
 /// faster than it can be told that it sends rubbish.
 const TURN: usize = 32;
@@ -57,6 +59,15 @@
     }
 }
 
+/// What queries meet.
+#[derive(Clone, Copy, Default)]
+struct Service {
+    /// Whether they can be carried out yet.
+    ready: bool,
+    /// Since when no more are taken.
+    closed: Option<f64>,
+}
+
 struct Conn {
     stream: TcpStream,
     inbox: Ring,
@@ -81,19 +92,22 @@
 
 impl Conn {
     /// Reads, understands and writes as far as it goes without waiting.
-    fn turn(&mut self, slot: Slot, serving: bool, context: &mut Context) -> Result<(), Over> {
-        self.active = context.reactor.now();
+    fn turn(&mut self, slot: Slot, service: Service, context: &mut Context) -> Result<(), Over> {
+        let (now, received) = (context.reactor.now(), self.inbox.received());
         self.more = false;
         while self.stage != Stage::Ending {
             let fill = self.inbox.fill(&mut self.stream).map_err(|_| Over)?;
             if fill == Fill::Ended {
                 return Err(Over);
             }
-            self.stamp();
+            self.stamp(now);
+            if self.inbox.received() > received {
+                self.active = now;
+            }
             let before = self.inbox.len();
-            self.understand(slot, serving, context)?;
+            self.understand(slot, service, context)?;
             if self.more {
-                context.reactor.timer(self.active, Due::Client(slot));
+                context.reactor.timer(now, Due::Client(slot));
                 return Ok(());
             }
             // The event is edge-triggered: what a full buffer left in the socket must be read now that there
@@ -118,7 +132,7 @@
     }
 
     /// Notes when what has just been read came in.
-    fn stamp(&mut self) {
+    fn stamp(&mut self, now: f64) {
         let (received, taken) = (self.inbox.received(), self.inbox.taken());
         while self.arrivals.front().is_some_and(|(upto, _)| *upto <= taken) {
             self.arrivals.pop_front();
@@ -128,7 +142,7 @@
             Some((upto, _)) if full => *upto = received,
             Some((upto, _)) if *upto == received => {}
             _ if received == taken => {}
-            _ => self.arrivals.push_back((received, self.active)),
+            _ => self.arrivals.push_back((received, now)),
         }
     }
 
@@ -143,7 +157,7 @@
 
     /// Takes message by message. The next is looked at only when the answers so far are written: a client
     /// that sends and does not read gets no further than its buffers.
-    fn understand(&mut self, slot: Slot, serving: bool, context: &mut Context) -> Result<(), Over> {
+    fn understand(&mut self, slot: Slot, service: Service, context: &mut Context) -> Result<(), Over> {
         for _ in 0..TURN {
             if !self.flush()? {
                 return Ok(());
@@ -156,7 +170,7 @@
                 },
                 Stage::Idle => match pg::message(&mut self.inbox) {
                     Ok(None) => return Ok(()),
-                    Ok(Some(message)) => self.message(message, slot, serving, context).map(Ok)?,
+                    Ok(Some(message)) => self.message(message, slot, service, context).map(Ok)?,
                     Err(fault) => Err(fault),
                 },
                 Stage::Busy | Stage::Unready | Stage::Ending => return Ok(()),
@@ -180,6 +194,13 @@
         matches!(self.stage, Stage::Startup | Stage::Idle) && self.inbox.is_empty() && self.outbox.is_empty()
     }
 
+    /// Whether it can be ended: every query that has come in is answered, even if the answer is still to be
+    /// written. The beginning of one is none.
+    fn owed_nothing(&self) -> bool {
+        let between = !matches!(self.stage, Stage::Busy | Stage::Ending) && !self.more;
+        between && (self.outbox.is_empty() || self.inbox.is_empty())
+    }
+
     /// Whether something is due from the client.
     fn owes(&self) -> bool {
         match self.stage {
@@ -206,7 +227,7 @@
         &mut self,
         message: Message,
         slot: Slot,
-        serving: bool,
+        service: Service,
         context: &mut Context,
     ) -> Result<(), Over> {
         match message.kind {
@@ -217,10 +238,15 @@
             }
             _ if self.skipping => {}
             b'Q' => match pg::asked(&message.body) {
-                Ok(Asked::Nothing) if serving => self.empty()?,
+                Ok(Asked::Nothing) if service.ready => self.empty()?,
                 Ok(Asked::Nothing) => self.stage = Stage::Unready,
                 Ok(Asked::Query(mut query)) => {
                     query.arrived = self.arrived();
+                    if service.closed.is_some_and(|since| query.arrived > since) {
+                        // It would outlive the process: elsewhere it has all its time.
+                        context.counters.refused += 1;
+                        return self.error(code::SHUTTING_DOWN, "shutting down", Some(COME_AGAIN_MS));
+                    }
                     // Guards against many statements that are each within their bound and together are not.
                     let Ok(charge) = self.inbox.charge(query.statement.len()) else {
                         context.counters.refused += 1;
@@ -294,7 +320,10 @@
         match answer {
             Answer::Served(mut value) => {
                 value.extend(pg::ready());
-                self.outbox.push(&value)?;
+                if self.outbox.push(&value).is_err() {
+                    // It is owed an answer though there is no memory for the value.
+                    self.error(code::FAILED, "no memory for the value", None)?;
+                }
             }
             Answer::Refused(backoff) => {
                 let millis = Some((backoff * 1000.0).ceil()).filter(|millis| *millis > 0.0);
@@ -320,8 +349,7 @@
     full: bool,
     /// What keeps new ones out is not logged again before then.
     quiet_until: f64,
-    /// Whether queries can be carried out.
-    serving: bool,
+    service: Service,
 }
 
 impl Clients {
@@ -334,7 +362,8 @@
         context.reactor.registry.register(&mut listener, Source::Listener.into(), Interest::READABLE)?;
         context.reactor.timer(context.reactor.now() + SWEEP, Due::Rested);
         let (listener, conns) = (Some(listener), Slots::new());
-        Ok(Clients { listener, conns, budget, limit, full: false, quiet_until: 0.0, serving: false })
+        let service = Service::default();
+        Ok(Clients { listener, conns, budget, limit, full: false, quiet_until: 0.0, service })
     }
 
     pub fn is_empty(&self) -> bool {
@@ -343,7 +372,7 @@
 
     /// Takes in all that wait.
     pub fn accept(&mut self, context: &mut Context) {
-        while let Some(listener) = &self.listener {
+        while self.listener.is_some() {
             // At the limit a connection between requests makes room; where all are busy, new ones wait. It
             // does so only once a new one is there: one descriptor of the spares is used for that moment.
             let now = context.reactor.now();
@@ -356,6 +385,14 @@
                 let clients = self.conns.len();
                 return self.complain(now, format_args!("{clients} clients, all busy: new connections wait"));
             }
+            if let Some(slot) = idlest {
+                // What has come in by now is a request, not a rest.
+                self.ready(slot, context);
+                if self.conns.get_mut(slot).is_none_or(|conn| conn.stage != Stage::Ending && !conn.rests()) {
+                    continue;
+                }
+            }
+            let Some(listener) = &self.listener else { return };
             match listener.accept() {
                 Ok((stream, _)) => {
                     if let Some(slot) = idlest {
@@ -381,7 +418,8 @@
         let now = context.reactor.now();
         context.reactor.timer(now + SWEEP, Due::Rested);
         loop {
-            let rest = match self.conns.len() {
+            let ending = self.conns.iter().filter(|(_, conn)| conn.stage == Stage::Ending).count();
+            let rest = match self.conns.len() - ending {
                 places if places > self.limit / 2 => RESTING_CROWDED,
                 places if places > self.limit / 4 => RESTING,
                 _ => return,
@@ -389,8 +427,13 @@
             // Those who have not asked yet have their own time limit.
             let rested = |conn: &Conn| conn.asked && conn.rests() && now >= conn.active + rest;
             let Some(slot) = longest(&self.conns, rested) else { return };
-            self.conns.remove(slot);
+            // What has come in by now is a request, not a rest.
+            self.ready(slot, context);
+            let Some(conn) = self.conns.get_mut(slot).filter(|conn| rested(conn)) else { continue };
+            conn.end(slot, context);
             context.counters.rested += 1;
+            let result = conn.turn(slot, self.service, context);
+            self.settle(slot, result, context);
         }
     }
 
@@ -432,7 +475,7 @@
     /// A connection may be read from or written to.
     pub fn ready(&mut self, slot: Slot, context: &mut Context) {
         let Some(conn) = self.conns.get_mut(slot) else { return };
-        let result = conn.turn(slot, self.serving, context);
+        let result = conn.turn(slot, self.service, context);
         self.settle(slot, result, context);
     }
 
@@ -440,18 +483,19 @@
     fn settle(&mut self, slot: Slot, result: Result<(), Over>, context: &mut Context) {
         let Some(conn) = self.conns.get_mut(slot) else { return };
         let busy = conn.stage == Stage::Busy;
-        let closing = self.listener.is_none() && !busy;
-        if closing && !conn.outbox.is_empty() && conn.stage != Stage::Ending {
-            // An answer is still to be written, but not for ever: whoever does not read would keep the end.
+        let mut result = result;
+        if self.service.closed.is_some() && result.is_ok() && conn.owed_nothing() {
             conn.end(slot, context);
+            result = conn.turn(slot, self.service, context);
         }
         if !conn.owes() {
             conn.owing = None;
         } else if conn.owing.is_none() {
-            conn.owing = Some(conn.active);
-            context.reactor.timer(conn.active + PROMPT, Due::Client(slot));
+            let now = context.reactor.now();
+            conn.owing = Some(now);
+            context.reactor.timer(now + PROMPT, Due::Client(slot));
         }
-        if result.is_err() || closing && conn.outbox.is_empty() {
+        if result.is_err() {
             if busy {
                 context.events.push_back(Event::Gone(slot));
             }
@@ -473,20 +517,22 @@
             Answer::Failed => &mut context.counters.failed,
             Answer::Invalid(_) => &mut context.counters.malformed,
         } += 1;
-        let result = conn.answer(answer).and_then(|()| conn.turn(slot, self.serving, context));
+        conn.active = context.reactor.now();
+        let result = conn.answer(answer).and_then(|()| conn.turn(slot, self.service, context));
         self.settle(slot, result, context);
     }
 
     /// From now on queries can be carried out: those who asked are told.
     pub fn serve(&mut self, context: &mut Context) {
-        if std::mem::replace(&mut self.serving, true) {
+        if std::mem::replace(&mut self.service.ready, true) {
             return;
         }
         let unready = self.conns.iter().filter(|(_, conn)| conn.stage == Stage::Unready);
         let unready: Vec<Slot> = unready.map(|(slot, _)| slot).collect();
         for slot in unready {
             let Some(conn) = self.conns.get_mut(slot) else { continue };
-            let result = conn.empty().and_then(|()| conn.turn(slot, true, context));
+            conn.active = context.reactor.now();
+            let result = conn.empty().and_then(|()| conn.turn(slot, self.service, context));
             self.settle(slot, result, context);
         }
     }
@@ -496,6 +542,7 @@
         // What has come in until now is still read, and owed an answer.
         self.accept(context);
         self.listener = None;
+        self.service.closed = Some(context.reactor.now());
         let all: Vec<Slot> = self.conns.iter().map(|(slot, _)| slot).collect();
         for slot in all {
             self.ready(slot, context);
@@ -518,12 +565,16 @@
         // A message that does not end is answered; one that was never begun is not, since the end of a
         // connection is no answer to a request that crosses it.
         let unfinished = !conn.inbox.is_empty() && conn.outbox.is_empty() && conn.stage != Stage::Ending;
-        let result = if unfinished {
-            conn.fatal(slot, code::VIOLATION, "message not completed in time", context)
-                .and_then(|()| conn.turn(slot, self.serving, context))
-        } else {
-            Err(Over)
+        let reads = conn.outbox.is_empty() && conn.stage != Stage::Ending;
+        let told = match unfinished {
+            true => conn.fatal(slot, code::VIOLATION, "message not completed in time", context),
+            false if reads => {
+                conn.end(slot, context);
+                Ok(())
+            }
+            false => Err(Over),
         };
+        let result = told.and_then(|()| conn.turn(slot, self.service, context));
         self.settle(slot, result, context);
     }
 }
--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -34,6 +34,7 @@
     pub const VIOLATION: &str = "08P01";
     pub const TOO_LARGE: &str = "54000";
     pub const NO_MEMORY: &str = "53200";
+    pub const SHUTTING_DOWN: &str = "57P03";
 }
 
 /// One message, its type and what follows the length.
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -26,8 +26,9 @@
 
 /// Descriptors kept for the listener, the poll, signals, the log, discovery's watch and surprises.
 const SPARES: usize = 16;
-/// After SIGTERM new queries are owed an answer for 0.7 s; this much longer for what is on its way (seconds).
-const LAST_CALL: f64 = 0.75;
+/// How long queries are taken after SIGTERM (seconds). New connections come for 0.4 s; what arrives after 0.7 s is
+/// lost where it outlives the process.
+const LAST_CALL: f64 = 0.6;
 
 /// A request that its client, or an attempt, has not done with yet.
 struct Request {
