--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -508,6 +508,11 @@
         }
     }
 
+    /// The client has closed its connection: it is gone, whatever it sent before that is still unread.
+    pub fn hung_up(&mut self, slot: Slot, context: &mut Context) {
+        self.settle(slot, Err(Over), context);
+    }
+
     /// Gives the final answer to the query of a connection.
     pub fn answer(&mut self, slot: Slot, answer: Answer, context: &mut Context) {
         let Some(conn) = self.conns.get_mut(slot).filter(|conn| conn.stage == Stage::Busy) else { return };
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -184,8 +184,9 @@
 
 /// Whom the loop tells.
 pub(crate) trait Handler {
-    /// A source may be read from or written to, or has ended.
-    fn ready(&mut self, source: Source, context: &mut Context);
+    /// A source may be read from or written to; whether its peer has closed it, which shows also while what
+    /// came before that is left unread.
+    fn ready(&mut self, source: Source, hung_up: bool, context: &mut Context);
     /// A timer came due.
     fn due(&mut self, due: Due, context: &mut Context);
     /// Whether there is nothing left to wait for.
@@ -201,7 +202,7 @@
             result => result?,
         }
         for event in &events {
-            handler.ready(event.token().into(), context);
+            handler.ready(event.token().into(), event.is_read_closed(), context);
         }
         let now = context.reactor.now();
         while let Some(due) = context.reactor.due(now) {
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -315,10 +315,11 @@
 }
 
 impl Handler for Proxy {
-    fn ready(&mut self, source: Source, context: &mut Context) {
+    fn ready(&mut self, source: Source, hung_up: bool, context: &mut Context) {
         match source {
             Source::Listener => self.clients.accept(context),
             Source::Signals => self.signal(context),
+            Source::Client(slot) if hung_up => self.clients.hung_up(slot, context),
             Source::Client(slot) => self.clients.ready(slot, context),
             Source::Server(slot) => self.servers.ready(slot, context),
             Source::Discovery(slot) => self.discovery.ready(slot, context),
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -171,6 +171,21 @@
     assert!(pooler.counters().contains(" gone=1 overdue=0 rested=0 connected=1 sent=1 ok=0"));
 }
 
+/// While more waited to be read than one connection may hold, the end behind it went unseen, and the attempt on.
+#[test]
+fn a_client_that_leaves_behind_more_than_is_read_is_gone() {
+    let db = Db::new();
+    let (pooler, _discovery) = with_one(&db, &[]);
+    let mut client = client(&pooler);
+    client.send(&query(&ask("1", "reports")));
+    let mut wire = db.accept();
+    asked(&mut wire);
+    client.send(&query(&ask("2", "reports")).repeat(2000));
+    drop(client);
+    wire.ends();
+    assert!(pooler.counters().contains(" gone=1 overdue=0 rested=0 connected=1 sent=1 ok=0"));
+}
+
 #[rstest]
 #[case::refused(0, "connect_failed=1 reset=0")]
 #[case::during_startup(1, "connect_failed=1 reset=0")]
