--- a/src/counters.rs
+++ b/src/counters.rs
@@ -18,6 +18,8 @@
     pub refused: u64,
     pub failed: u64,
     pub gone: u64,
+    /// Of those gone, clients that asked for their query to be cancelled and stayed.
+    pub cancelled: u64,
     pub sent: u64,
     pub probed: u64,
     /// Answers that were none, what came behind an answer or without a request, and reports that could not be
@@ -71,6 +73,7 @@
         }
         write!(f, " spoilt={} stray={} unreadable={}", self.spoilt, self.stray, self.unreadable)?;
         write!(f, " lists={} lists_failed={}", self.lists, self.lists_failed)?;
-        write!(f, " reloads={} reloads_failed={}", self.reloads, self.reloads_failed)
+        write!(f, " reloads={} reloads_failed={}", self.reloads, self.reloads_failed)?;
+        write!(f, " cancelled={}", self.cancelled)
     }
 }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -9,7 +9,7 @@
 use mio::Interest;
 
 use super::event_loop::{Due, Slot, Slots, Source};
-use super::pg::{self, code, Asked, FrameError, Message, Startup};
+use super::pg::{self, code, Asked, CancelKey, FrameError, Message, Startup};
 use super::ring::{Budget, Fill, Overflow, Ring};
 use super::{log, Answer, Context, Event};
 
@@ -70,6 +70,8 @@
 
 struct Conn {
     stream: TcpStream,
+    /// What a request to cancel its query has to name.
+    key: CancelKey,
     inbox: Ring,
     /// Up to which byte the input had come, and when: what waits behind another query ages meanwhile.
     arrivals: VecDeque<(u64, f64)>,
@@ -189,6 +191,16 @@
         Ok(())
     }
 
+    /// Whoever asks for a query to be cancelled may hang up at once.
+    fn last_words(&mut self, context: &mut Context) {
+        if self.stage == Stage::Startup {
+            let _ = self.inbox.fill(&mut self.stream);
+            if let Ok(Some(Startup::Cancel(key))) = pg::startup(&mut self.inbox) {
+                context.events.push_back(Event::Cancel(key));
+            }
+        }
+    }
+
     /// Whether it is between requests, with nothing on its way from here.
     fn rests(&self) -> bool {
         matches!(self.stage, Stage::Startup | Stage::Idle) && self.inbox.is_empty() && self.outbox.is_empty()
@@ -214,10 +226,13 @@
         match first {
             Startup::Encryption => self.outbox.push(b"N")?,
             Startup::Session => {
-                self.outbox.push(&pg::welcome())?;
+                self.outbox.push(&pg::welcome(self.key))?;
                 self.stage = Stage::Idle;
             }
-            Startup::Cancel => return Err(Over),
+            Startup::Cancel(key) => {
+                context.events.push_back(Event::Cancel(key));
+                return Err(Over);
+            }
             Startup::Unknown => self.fatal(slot, code::UNSUPPORTED, "unknown protocol", context)?,
         }
         Ok(())
@@ -331,6 +346,7 @@
                 self.error(code::TURNED_AWAY, "refused: try again later", detail.as_deref())?;
             }
             Answer::Failed => self.error(code::FAILED, "failed: it may have run", None)?,
+            Answer::Cancelled => self.error(code::CANCELLED, "cancelled as its client asked", None)?,
             Answer::Invalid(what) => self.error(code::BAD_VALUE, what, None)?,
         }
         Ok(())
@@ -350,6 +366,8 @@
     /// What keeps new ones out is not logged again before then.
     quiet_until: f64,
     service: Service,
+    /// Of the keys for cancel requests.
+    rng: fastrand::Rng,
 }
 
 impl Clients {
@@ -357,13 +375,14 @@
         mut listener: TcpListener,
         limit: usize,
         budget: Budget,
+        seed: u64,
         context: &mut Context,
     ) -> io::Result<Clients> {
         context.reactor.registry.register(&mut listener, Source::Listener.into(), Interest::READABLE)?;
         context.reactor.timer(context.reactor.now() + SWEEP, Due::Rested);
-        let (listener, conns) = (Some(listener), Slots::new());
+        let (listener, conns, rng) = (Some(listener), Slots::new(), fastrand::Rng::with_seed(seed));
         let service = Service::default();
-        Ok(Clients { listener, conns, budget, limit, full: false, quiet_until: 0.0, service })
+        Ok(Clients { listener, conns, budget, limit, full: false, quiet_until: 0.0, service, rng })
     }
 
     pub fn is_empty(&self) -> bool {
@@ -450,6 +469,7 @@
         let (inbox, outbox) = (Ring::new(&self.budget), Ring::new(&self.budget));
         let conn = Conn {
             stream,
+            key: CancelKey(self.rng.u32(..), self.rng.u32(..)),
             inbox,
             arrivals: VecDeque::new(),
             outbox,
@@ -499,6 +519,7 @@
             if busy {
                 context.events.push_back(Event::Gone(slot));
             }
+            conn.last_words(context);
             self.conns.remove(slot);
         }
         // Whoever waits at the door was announced once: now that there is room, it must be looked for.
@@ -508,6 +529,11 @@
         }
     }
 
+    /// The connection whose query is cancelled by one who names its key.
+    pub fn asker(&self, key: CancelKey) -> Option<Slot> {
+        self.conns.iter().find(|(_, conn)| conn.key == key && conn.stage == Stage::Busy).map(|(slot, _)| slot)
+    }
+
     /// The client has closed its connection: it is gone, whatever it sent before that is still unread.
     pub fn hung_up(&mut self, slot: Slot, context: &mut Context) {
         self.settle(slot, Err(Over), context);
@@ -520,6 +546,7 @@
             Answer::Served(_) => &mut context.counters.served,
             Answer::Refused(_) => &mut context.counters.refused,
             Answer::Failed => &mut context.counters.failed,
+            Answer::Cancelled => &mut context.counters.cancelled,
             Answer::Invalid(_) => &mut context.counters.malformed,
         } += 1;
         conn.active = context.reactor.now();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,6 +19,7 @@
 use crate::counters::Counters;
 use crate::interface::{ListKind, MemberId, Outcome, Phase, Report, RequestId};
 use event_loop::{Reactor, Slot};
+use pg::CancelKey;
 use ring::Charge;
 
 pub(crate) use proxy::serve;
@@ -71,6 +72,8 @@
     Refused(f64),
     /// It may have run.
     Failed,
+    /// Its client has asked for it to be cancelled.
+    Cancelled,
     /// Not a query that can be carried out: it went nowhere.
     Invalid(&'static str),
 }
@@ -127,6 +130,8 @@
 pub(crate) enum Event {
     Asked(Slot, Box<Query>),
     Gone(Slot),
+    /// Someone asks for the query of whoever was told this key to be cancelled.
+    Cancel(CancelKey),
     Ended(Box<Ended>),
     Members(ListKind, Vec<Listing>),
 }
--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -34,6 +34,7 @@
     pub const VIOLATION: &str = "08P01";
     pub const TOO_LARGE: &str = "54000";
     pub const NO_MEMORY: &str = "53200";
+    pub const CANCELLED: &str = "57014";
     pub const SHUTTING_DOWN: &str = "57P03";
 }
 
@@ -112,12 +113,16 @@
     }
 }
 
+/// What a client is told at its start and has to name to have its query cancelled: process and secret.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct CancelKey(pub u32, pub u32);
+
 /// What a client's first message wants.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum Startup {
     Session,
     Encryption,
-    Cancel,
+    Cancel(CancelKey),
     Unknown,
 }
 
@@ -135,9 +140,14 @@
         return Ok(None);
     }
     let body = ring.take(length);
-    Ok(Some(match u32::from_be_bytes([body[4], body[5], body[6], body[7]]) {
+    let word =
+        |n: usize| body.get(4 * n..).and_then(|rest| rest.first_chunk()).map(|b| u32::from_be_bytes(*b));
+    Ok(Some(match word(1).unwrap_or_default() {
         SSL_REQUEST | GSS_REQUEST => Startup::Encryption,
-        CANCEL_REQUEST => Startup::Cancel,
+        CANCEL_REQUEST => match (word(2), word(3)) {
+            (Some(process), Some(secret)) if length == 16 => Startup::Cancel(CancelKey(process, secret)),
+            _ => return Err(FrameError::Malformed),
+        },
         version if version >> 16 == PROTOCOL >> 16 => Startup::Session,
         _ => Startup::Unknown,
     }))
@@ -172,7 +182,7 @@
 }
 
 /// The answer to a client's startup message, up to and with ReadyForQuery.
-pub(crate) fn welcome() -> Vec<u8> {
+pub(crate) fn welcome(CancelKey(process, secret): CancelKey) -> Vec<u8> {
     let mut out = Vec::new();
     frame(&mut out, b'R', |out| out.extend([0; 4]));
     for (name, value) in [
@@ -188,7 +198,7 @@
             text(out, value);
         });
     }
-    frame(&mut out, b'K', |out| out.extend([0; 8]));
+    frame(&mut out, b'K', |out| out.extend([process.to_be_bytes(), secret.to_be_bytes()].concat()));
     out.extend(ready());
     out
 }
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -90,7 +90,7 @@
         let names = config.classes.iter().cloned();
         let mut proxy = Proxy {
             policy,
-            clients: Clients::new(listener, clients, budget.clone(), context)?,
+            clients: Clients::new(listener, clients, budget.clone(), !config.seed, context)?,
             servers: Servers::new(
                 sockets - clients,
                 budget.clone(),
@@ -120,6 +120,12 @@
             match event {
                 Event::Asked(client, query) => self.asked(client, *query, context),
                 Event::Gone(client) => self.gone(client, context),
+                Event::Cancel(key) => {
+                    if let Some(client) = self.clients.asker(key) {
+                        self.gone(client, context);
+                        self.clients.answer(client, Answer::Cancelled, context);
+                    }
+                }
                 Event::Ended(ended) => self.ended(*ended, context),
                 Event::Members(kind, listings) => self.members(kind, listings, context),
             }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -196,6 +196,15 @@
     wire
 }
 
+/// A client whose startup is done, and the message by which whoever it tells can cancel its query.
+pub fn client_and_cancel(pooler: &Pooler) -> (Wire, Vec<u8>) {
+    let mut wire = Wire::over(TcpStream::connect(pooler.address).unwrap());
+    wire.send(&startup());
+    let key = wire.answer().into_iter().find(|(kind, _)| *kind == b'K').expect("a key").1;
+    assert_eq!(key.len(), 8);
+    (wire, [&[0, 0, 0, 16, 4, 210, 22, 46], &key[..]].concat())
+}
+
 /// A socket that waits for connections, for so long at the most.
 fn listener() -> TcpListener {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -186,6 +186,60 @@
     assert!(pooler.counters().contains(" gone=1 overdue=0 rested=0 connected=1 sent=1 ok=0"));
 }
 
+#[rstest]
+#[case::who_waits(false)]
+#[case::who_hangs_up_at_once(true)]
+fn a_query_is_cancelled_for_one_who_knows_its_key(#[case] hangs_up: bool) {
+    let db = Db::new();
+    let (pooler, _discovery) = with_one(&db, &[]);
+    let (mut client, cancel) = client_and_cancel(&pooler);
+    client.send(&query(&ask("1", "reports")));
+    let mut wire = db.accept();
+    asked(&mut wire);
+    let caller = |message: &[u8]| {
+        let mut caller = Wire(TcpStream::connect(pooler.address).unwrap());
+        caller.send(message);
+        if !hangs_up {
+            caller.ends();
+        }
+    };
+    // A guess does nothing.
+    caller(&cancel.iter().map(|byte| byte ^ u8::from(*byte == cancel[15])).collect::<Vec<_>>());
+    caller(&cancel);
+    assert_eq!(client.error().0, "57014");
+    wire.ends();
+    // The connection goes on.
+    warm(&db, &mut client);
+    assert!(pooler.counters().contains(" cancelled=1"));
+}
+
+/// What was held for want of a fresh replica when its client cancelled it, or left, goes nowhere afterwards.
+#[rstest]
+#[case::cancelled(true)]
+#[case::left(false)]
+fn a_held_query_whose_client_has_gone_is_not_sent(#[case] cancels: bool) {
+    let db = Db::new();
+    let (pooler, _discovery) = with_one(&db, &[(r#""probes":false"#, r#""probes":true"#)]);
+    let (mut held, cancel) = client_and_cancel(&pooler);
+    held.send(&query(&ask("1", "browse")));
+    let mut wire = db.accept();
+    assert_eq!(asked(&mut wire), "SHOW usage");
+    if cancels {
+        Wire(TcpStream::connect(pooler.address).unwrap()).send(&cancel);
+        assert_eq!(held.error().0, "57014");
+    } else {
+        drop(held);
+    }
+    while !pooler.counters().contains(" gone=1 ") {}
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64();
+    wire.send(&served(format!("x0={now:.3},x1=0").as_bytes(), "reader"));
+    let mut other = client(&pooler);
+    other.send(&query(&ask("2", "reports")));
+    assert!(asked(&mut wire).contains("id=2,"));
+    wire.send(&served(VALUE, "reader"));
+    assert_eq!(other.answer()[0].0, b'T');
+}
+
 #[rstest]
 #[case::refused(0, "connect_failed=1 reset=0")]
 #[case::during_startup(1, "connect_failed=1 reset=0")]
