--- a/src/config.rs
+++ b/src/config.rs
@@ -9,7 +9,7 @@
 use tinyjson::JsonValue;
 
 use crate::interface::{Class, Consistency, Dedup, Effect, Settings, WhenBehind};
-use crate::net::{discovery, News};
+use crate::net::{discovery, News, REPORT_POSITION, REPORT_PRIMARY};
 
 /// Deepest nesting of JSON that is read. Guards the stack: the parser calls itself once a level.
 pub(crate) const DEEPEST: usize = 32;
@@ -104,6 +104,15 @@
     decode(Node::new(&json(text)?))
 }
 
+/// Whether a probe's report tells of a position or a role: without either it says nothing that is of use.
+fn probes_tell(reports: Node) -> bool {
+    let fields = reports.at("fields").items();
+    let named = |fields: &[JsonValue]| {
+        fields.iter().any(|field| matches!(Node::new(field).text(), Some(REPORT_POSITION | REPORT_PRIMARY)))
+    };
+    reports.at("how").text() != Some("silent") && fields.is_none_or(named)
+}
+
 fn decode(info: Node) -> Result<Settings, ConfigError> {
     let (limits, rules, specifics) = (info.at("limits"), info.at("invariants"), info.at("specifics"));
     let list = info.at("classes").items().ok_or_else(|| "'classes' is not an array".to_string())?;
@@ -151,7 +160,7 @@
         fleet_size: info.number_or("fleetSize", 1.0)? as u32,
         zone: info.number_or("zone", 0.0)? as u32,
         tick: info.number_or("tick", 0.005)?,
-        probes: limits.at("probes").flag(),
+        probes: limits.at("probes").flag() && probes_tell(info.at("loadInfo")),
         cancel: limits.at("cancel").flag(),
         may_duplicate: limits.at("mayDuplicate").flag(),
         max_attempts: limits.number_or("maxAttempts", 1.0)? as u32,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -108,7 +108,7 @@
     pub zone: u32,
     /// Shortest time between two turns (seconds).
     pub tick: f64,
-    /// Whether members may be probed.
+    /// Whether members may be probed, and what they report then tells of their position or role.
     pub probes: bool,
     /// Whether attempts may be cancelled.
     pub cancel: bool,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -23,6 +23,7 @@
 use ring::Charge;
 
 pub(crate) use proxy::serve;
+pub(crate) use servers::{REPORT_POSITION, REPORT_PRIMARY};
 
 /// A statement as the client wrote it, and where in it the time that the sender will wait stands.
 #[derive(Debug)]
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -22,8 +22,8 @@
 const PRIMARY: &str = "writer";
 const REPLICA: &str = "reader";
 /// The fields of a load report.
-const REPORT_POSITION: &str = "x0";
-const REPORT_PRIMARY: &str = "x1";
+pub(crate) const REPORT_POSITION: &str = "x0";
+pub(crate) const REPORT_PRIMARY: &str = "x1";
 
 /// Share of the time that a db machine keeps an idle connection after which it is closed from here: what is
 /// written to one that the machine is just closing would end as a reset.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -432,6 +432,24 @@
     assert!(pooler.counters().contains(" unreadable=3 "));
 }
 
+/// Where probes are allowed and report nothing of use, primaries were sought by probes that could not tell.
+#[rstest]
+#[case::no_reports(r#"{"how":"silent","fields":[]}"#)]
+#[case::reports_of_load(r#"{"how":"pull","fields":["inflight","util"]}"#)]
+fn a_primary_is_sought_by_a_write_where_probes_cannot_tell_it(#[case] reports: &str) {
+    let db = Db::new();
+    let tick = format!(r#""tick":0.005,"loadInfo":{reports}"#);
+    let edits = [(r#""probes":false"#, r#""probes":true"#), (r#""tick":0.005"#, &tick)];
+    let (pooler, _discovery) = with_one(&db, &edits);
+    let mut client = client(&pooler);
+    client.send(&query(&ask("1", "order-write")));
+    let mut wire = db.accept();
+    assert!(asked(&mut wire).contains("id=1,"));
+    wire.send(&served(VALUE, "writer"));
+    assert_eq!(client.answer()[0].0, b'T');
+    assert!(pooler.counters().contains(" probed=0 "));
+}
+
 #[rstest]
 #[case::noise(b"\x9f\x03\x00\xfe\xc1".to_vec())]
 #[case::a_line(b"HTTP/1.1 500 odd\r\n".to_vec())]
