--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,7 +6,7 @@
 use crate::check::{check, SettingsError};
 use crate::interface::*;
 pub use crate::state::Policy;
-use crate::state::{Attempt, Choice, Member, Request};
+use crate::state::{Attempt, Choice, Group, Member, Request};
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -18,6 +18,8 @@
 const EXIT_MARGIN: u32 = 3;
 /// Weight of a new sample in the running means: about ten answers, so that they follow a change quickly.
 const SAMPLE: f64 = 0.1;
+/// The same for the share of reads, which changes slowly: about fifty requests.
+const SAMPLE_READS: f64 = 0.02;
 /// First guess of a class's latency as a share of its aim, until answers tell.
 const LATENCY_GUESS: f64 = 0.25;
 /// An attempt is overdue at this many mean deviations over the mean ...
@@ -60,8 +62,10 @@
 const TABLE_LEAST: u32 = 200;
 /// In flight at a primary up to which held requests are released: paced, so they come as it can take them.
 const RELEASE_UP_TO: u32 = 6;
-/// Share of the reads open to a cold member, in multiples of its present capacity.
+/// Share of the reads open to a cold member, in multiples of its present capacity, at the most ...
 const COLD_READS: f64 = 1.0;
+/// ... and of what it bears, a fifth being left to chance: reads differ in what they take.
+const COLD_SHARE: f64 = 0.8;
 /// Share of the tipping multiple that work bound to a cold primary may use.
 const COLD_BOUND: f64 = 0.5;
 /// Share of its time that a request may wait without reaching any member: given up then, its client has as
@@ -366,10 +370,18 @@
     /// Whether a cold member may have this request. Guards against pushing over one that has just started:
     /// each request's lot, drawn once, admits a share of all there is, so that hundreds of proxies with a
     /// request now and then keep to it together. It is sent there once: work turned away weighs as well.
-    fn cold_room(&self, request: &Request, m: usize, multiple: f64) -> bool {
+    fn cold_room(&self, request: &Request, m: usize, share: f64) -> bool {
         let warmth = self.warmth(m);
         let tried = request.attempts.iter().any(|a| a.member == m);
-        warmth >= 1.0 || request.lot < multiple * warmth && !tried
+        warmth >= 1.0 || request.lot < share * warmth && !tried
+    }
+
+    /// Share of a group's reads that a cold member may have of each proxy, in multiples of its warmth. What
+    /// it bears is told in multiples of its capacity: at least its part of what the group bears now.
+    fn cold_reads(&self, group: &Group) -> f64 {
+        let bear: f64 = group.members.iter().filter(|&&m| self.usable(m)).map(|&m| self.warmth(m)).sum();
+        // Only the reads among what it bears are shared out.
+        (self.settings.tip_multiple * COLD_SHARE / (bear.max(1.0) * self.reads)).min(COLD_READS)
     }
 
     fn arrival(&mut self, arrival: Arrival, out: &mut Vec<Action>) {
@@ -387,6 +399,8 @@
         // Nobody waits longer than a class's clients do; guards against a request that says it would.
         let left = left.clamp(0.0, c.deadline);
         let aim = (c.aim + c.aim_stretch * predicted.unwrap_or(0.0)).min(left);
+        let read = !matches!(c.consistency, Consistency::Write | Consistency::Fresh);
+        self.reads += SAMPLE_READS * (f64::from(u8::from(read)) - self.reads);
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_MOST);
         self.probes = (self.probes + PROBE_SHARE).min(PROBE_MOST);
         let mut over_share = false;
@@ -548,12 +562,13 @@
         let primary = state.primary;
         let needed = self.needed(request);
         let any = self.settings.classes[class].consistency == Consistency::Any;
+        let cold_reads = self.cold_reads(state);
         let tried = |m: usize| request.attempts.iter().any(|a| a.member == m);
         let all: Vec<usize> =
             state.members.iter().copied().filter(|&m| self.usable(m) && !tried(m)).collect();
         let replicas: Vec<usize> = all.iter().copied().filter(|&m| Some(m) != primary).collect();
         let fit =
-            |m: &usize| (self.healthy(*m) || self.trial_due(*m)) && self.cold_room(request, *m, COLD_READS);
+            |m: &usize| (self.healthy(*m) || self.trial_due(*m)) && self.cold_room(request, *m, cold_reads);
         let zone = self.settings.zone;
         let checked = self.settings.when_behind != WhenBehind::Silent;
         // Not known fresh, but may be: as little behind as when last heard, or left alone since for as long
@@ -635,7 +650,7 @@
             let member = &self.members[m];
             let answers = member.heard > lately.max(member.lost_at) && Some(m) != primary;
             let due = !member.trial && self.now - member.lost_at > self.settings.connect_timeout;
-            suspect && able && ((alone && due) || answers) && self.cold_room(request, m, COLD_READS)
+            suspect && able && ((alone && due) || answers) && self.cold_room(request, m, cold_reads)
         });
         let key = |m: &usize| self.members[*m].out_until.max(self.now) + self.predicted(*m, class);
         match floor.min_by(|a, b| key(a).total_cmp(&key(b))) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -178,6 +178,8 @@
     pub(crate) numbers: HashMap<RequestId, u64>,
     pub(crate) next: u64,
     pub(crate) latency: Vec<(f64, f64)>,
+    /// Share of the requests that a replica may answer.
+    pub(crate) reads: f64,
     /// Until then members are taken to have no room for idle connections.
     pub(crate) crowded_until: f64,
     pub(crate) retries: f64,
@@ -211,6 +213,7 @@
             numbers: HashMap::new(),
             next: 1,
             latency: Vec::new(),
+            reads: 1.0,
             crowded_until: f64::NEG_INFINITY,
             retries: 0.0,
             probes: 0.0,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -2,6 +2,7 @@
 
 use dewferry::interface::*;
 use dewferry::Policy;
+use rstest::rstest;
 
 /// Drives one policy and keeps what it did.
 struct Drive {
@@ -815,6 +816,67 @@
     assert!((10..=70).contains(&cold), "{cold} of 200 first reads, at a fifth of the capacity");
 }
 
+/// A cold member that is the only replica at home of all proxies gets, from all of them together and within the time
+/// that the settings name, no more than N requests of mean work and what chance adds to that. A few proxies have most
+/// of the traffic; one read in ten may take four times as long as the others.
+#[rstest]
+fn a_whole_fleet_keeps_to_what_a_cold_member_bears(
+    #[values(20, 300)] fleet_size: u32,
+    #[values(1.5, 2.0, 4.0)] tip_multiple: f64,
+    #[values(false, true)] long_reads: bool,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    const RATE: f64 = 240.0;
+    const SECONDS: f64 = 6.0;
+    let settings = Settings { fleet_size, tip_multiple, ..settings() };
+    let start = |number: u32| {
+        let mut d = Drive::new(settings.clone());
+        d.policy = Policy::new(settings.clone(), seed << 32 | u64::from(number)).unwrap();
+        let cold = Entry { started_at: d.now, ..entry("r", 0, false) };
+        let far = ["a", "b", "c", "d"].map(|member| entry(member, 1, false));
+        d.list(ListKind::Saved, [vec![entry("p", 0, true), cold], far.to_vec()].concat());
+        d
+    };
+    let mut fleet: Vec<Drive> = (0..fleet_size).map(start).collect();
+    let started = fleet[0].now;
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let (mut at_cold, mut work) = (Vec::new(), 0.0);
+    for i in 0..(SECONDS * RATE) as usize {
+        let now = started + i as f64 / RATE;
+        let d = &mut fleet[(rng.f64().powi(3) * f64::from(fleet_size)) as usize];
+        d.now = now;
+        ["r", "a", "b", "c", "d"].into_iter().for_each(|member| d.freshen(member));
+        let (class, takes) = if long_reads && i % 10 == 0 { (3, 4.0) } else { (1, 1.0) };
+        work += takes;
+        let id = format!("q{i}");
+        let goal = sent(&d.ask(&id, class))[0].to_string();
+        if goal == "r" {
+            at_cold.push((now, takes));
+        }
+        d.feed(Event::Done(Done {
+            id: id.as_str().into(),
+            member: goal.as_str().into(),
+            attempt: 0,
+            outcome: Outcome::Ok,
+            finished: true,
+            elapsed: 0.05 * takes,
+            position: Some(now),
+            primary: Some(goal == "p"),
+            report: Report::default(),
+        }));
+    }
+    assert!(at_cold.len() > 10, "it gets some: {}", at_cold.len());
+    // Six members bear the load, which is four fifths of what they could.
+    let (mean, capacity) = (work / (SECONDS * RATE), RATE / 6.0 / 0.8);
+    for (first, (begin, _)) in at_cold.iter().enumerate() {
+        let window = at_cold[first..].iter().take_while(|(at, _)| *at <= begin + settings.fall);
+        let got = window.map(|(_, takes)| takes).sum::<f64>() / mean;
+        let warmth = settings.cold_from + (1.0 - settings.cold_from) * (begin - started) / settings.warm_up;
+        let bears = tip_multiple * warmth * capacity * settings.fall;
+        assert!(got <= bears + 2.0 * bears.sqrt() + 2.0, "{got} where it bears {bears}, at {begin}");
+    }
+}
+
 /// Incident if92ddc: every proxy asked every member again and again, and took a full answer for illness.
 #[test]
 fn probes_are_an_allowance_that_requests_earn() {
