--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -123,11 +123,15 @@
                 return if stuck { self.fatal(slot, code::NO_MEMORY, "no memory", context) } else { Ok(()) };
             }
         }
-        // One buffer is thrown away and the rest is left unread until the time is over: guards the loop against
-        // a sender that does not stop.
+        // What comes is thrown away, a buffer at a turn: guards the loop against a sender that does not stop.
         self.flush()?;
-        if self.inbox.fill(&mut self.stream).map_err(|_| Over)? == Fill::Ended {
-            return Err(Over);
+        match self.inbox.fill(&mut self.stream).map_err(|_| Over)? {
+            Fill::Ended => return Err(Over),
+            Fill::Full if !self.inbox.is_empty() => {
+                self.more = true;
+                context.reactor.timer(now, Due::Client(slot));
+            }
+            Fill::Full | Fill::Drained => {}
         }
         self.inbox.skip(self.inbox.len());
         Ok(())
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -32,6 +32,18 @@
 impl Pooler {
     /// Starts the program on a configuration in which each of `edits` is made.
     pub fn start(list: &str, discovery: &Discovery, edits: &[(&str, &str)]) -> Pooler {
+        Pooler::start_as(Command::new(env!("CARGO_BIN_EXE_dewferry")), list, discovery, edits)
+    }
+
+    /// The same where the system gives it only so many descriptors, whatever its configuration says.
+    pub fn start_with_descriptors(count: u32, list: &str, discovery: &Discovery) -> Pooler {
+        let mut command = Command::new("sh");
+        command.arg("-c").arg(format!("ulimit -n {count}; exec \"$0\" \"$@\""));
+        command.arg(env!("CARGO_BIN_EXE_dewferry"));
+        Pooler::start_as(command, list, discovery, &[])
+    }
+
+    fn start_as(mut command: Command, list: &str, discovery: &Discovery, edits: &[(&str, &str)]) -> Pooler {
         let mut text = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
             "limits":{{"memory_mb":192,"sockets":1024}},"known":{list},"settings":{SETTINGS}}}"#,
@@ -44,7 +56,7 @@
         let number = discovery.address().port();
         let path = std::env::temp_dir().join(format!("dewferry-{}-{number}.json", std::process::id()));
         std::fs::write(&path, text).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_dewferry"))
+        let mut child = command
             .args(["serve", "--config"])
             .arg(&path)
             .stderr(Stdio::piped())
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -118,6 +118,25 @@
     warm(&db, &mut client(&pooler));
 }
 
+/// Only one buffer of what a client still sent was read away: the rest made the close a reset, which can overtake
+/// the word of what was wrong.
+#[test]
+fn who_goes_on_sending_after_its_fault_is_told_and_not_reset() {
+    let db = Db::new();
+    let (pooler, _discovery) = with_one(&db, &[]);
+    let mut broken = client(&pooler);
+    let mut sending = broken.0.try_clone().unwrap();
+    let sender = std::thread::spawn(move || {
+        sending
+            .write_all(&[b'Q', 0x7f, 0xff, 0xff, 0xff])
+            .and_then(|()| sending.write_all(&vec![0; 16 << 20]))
+    });
+    assert_eq!(broken.error().0, "54000");
+    broken.ends_in_order();
+    sender.join().unwrap().expect("all of it is read");
+    warm(&db, &mut client(&pooler));
+}
+
 /// Ending the sending again and again woke the poll each time: a connection in its last second took a whole core.
 #[test]
 #[cfg(target_os = "linux")]
@@ -753,6 +772,27 @@
     assert!(pooler.counters().contains(" overdue=1 "));
 }
 
+/// Idle clients hold every descriptor that the system gives while discovery is down.
+#[test]
+fn a_pooler_without_descriptors_finds_discovery_again_and_serves() {
+    let (old, new, discovery) = (Db::new(), Db::new(), Discovery::new());
+    let pooler = Pooler::start_with_descriptors(32, &list(41, true, &[old.line("s-1", "here")]), &discovery);
+    let mut idle = warm(&old, &mut client(&pooler));
+    let watch = discovery.call().0;
+    let crowd: Vec<TcpStream> = (0..60).map(|_| TcpStream::connect(pooler.address).unwrap()).collect();
+    pooler.logged("cannot accept");
+    // The watch breaks, and what takes its descriptor is another of the crowd.
+    drop(watch);
+    pooler.logged("discovery: ");
+    let (mut watch, line) = discovery.call();
+    assert!(line.contains("since=41 "), "{line}");
+    let moved = list(42, true, &[new.line("s-1", "here")]) + "\n";
+    watch.write_all(&[HEAD.as_bytes(), &chunks([moved.as_bytes()])].concat()).unwrap();
+    idle.ends();
+    warm(&new, &mut client(&pooler));
+    drop(crowd);
+}
+
 #[test]
 fn who_has_asked_and_stays_is_closed_once_places_run_out() {
     let db = Db::new();
