--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -57,6 +57,8 @@
     patience: f64,
     /// When its last byte came in.
     arrived: f64,
+    /// The commit that it has to see, where its client carries that (Unix seconds).
+    after: Option<f64>,
     keyed: bool,
     repeat: bool,
     /// The quoted key, where there is one: names the session.
--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -14,8 +14,9 @@
 const LONGEST_TEXT: usize = 8 * 1024;
 /// Longest startup message: it holds a handful of names.
 const LONGEST_STARTUP: usize = 10_000;
-/// Most digits of a number in a statement's comment; keeps it far inside what a float holds exactly.
-const MOST_DIGITS: usize = 12;
+/// Most digits of a number in a statement's comment; keeps it inside what a float holds exactly. A time in
+/// milliseconds has 13.
+const MOST_DIGITS: usize = 15;
 
 pub(crate) const PROTOCOL: u32 = 3 << 16;
 const SSL_REQUEST: u32 = 80_877_103;
@@ -318,7 +319,7 @@
         return Err("no statement behind the comment");
     }
     let (mut id, mut class, mut tenant, mut group, mut patience) = (None, None, None, None, None);
-    let (mut keyed, mut repeat) = (None, None);
+    let (mut keyed, mut repeat, mut after) = (None, None, None);
     let mut at = start + 2;
     for pair in sql[start + 2..end].split(',') {
         let (name, value) = pair.split_once('=').ok_or("the comment is not made of names and values")?;
@@ -335,6 +336,7 @@
             "d" => &mut patience,
             "k" => &mut keyed,
             "r" => &mut repeat,
+            "after" => &mut after,
             _ => continue,
         };
         if value.is_empty() || slot.replace((value, place)).is_some() {
@@ -343,8 +345,13 @@
     }
     let need = |value: Option<(&str, Range<usize>)>| value.map(|(value, _)| value.to_string());
     let (patience, place) = patience.ok_or("no d in the comment")?;
-    let millis = Some(patience).filter(|d| d.len() <= MOST_DIGITS && d.bytes().all(|b| b.is_ascii_digit()));
-    let millis = millis.and_then(|d| d.parse::<u64>().ok()).filter(|d| *d > 0);
+    let whole = |text: &str| {
+        let digits = text.len() <= MOST_DIGITS && text.bytes().all(|b| b.is_ascii_digit());
+        text.parse::<u64>().ok().filter(|_| digits)
+    };
+    let millis = whole(patience).filter(|d| *d > 0);
+    let after =
+        after.map(|(after, _)| whole(after).ok_or("after is not a time in milliseconds")).transpose()?;
     let group = group.and_then(|(group, _)| group.parse().ok()).ok_or("no group number in the comment")?;
     Ok(Asked::Query(Box::new(Query {
         id: need(id).ok_or("no id in the comment")?,
@@ -353,6 +360,7 @@
         group,
         patience: millis.ok_or("d is not a number of milliseconds above 0")? as f64 / 1000.0,
         arrived: 0.0,
+        after: after.filter(|after| *after > 0).map(|after| after as f64 / 1000.0),
         keyed: keyed.is_some(),
         repeat: repeat.is_some_and(|(value, _)| value == "1"),
         key: rest.split('\'').nth(1).filter(|_| rest.matches('\'').count() >= 2).map(String::from),
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -197,7 +197,7 @@
             group: query.group,
             // It has waited since it came, be it behind others of its connection.
             left: query.patience - (context.reactor.now() - query.arrived),
-            token_age: None,
+            token_age: query.after.map(|after| context.reactor.now() - after),
             session: query.key.filter(|_| sessions).map(Into::into),
             tenant: tenant.unwrap_or(self.tenants.len()),
             predicted: None,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -90,6 +90,7 @@
 #[case::twice("/* id=1,id=2,c=reports,d=10,cluster=2 */ SELECT", "42601")]
 #[case::huge_d("/* id=1,c=reports,d=99999999999999999999,cluster=2 */ SELECT", "42601")]
 #[case::signed_d("/* id=1,c=reports,d=-5,cluster=2 */ SELECT", "42601")]
+#[case::after_is_no_number("/* id=1,c=reports,d=10,cluster=2,after=now */ SELECT", "42601")]
 #[case::group_is_no_number("/* id=1,c=reports,d=10,cluster=two */ SELECT", "42601")]
 #[case::unknown_class("/* id=1,c=odd,d=10,cluster=2 */ SELECT", "22023")]
 #[case::no_key("/* id=1,c=order-write,d=10,cluster=2 */ SELECT", "22023")]
@@ -481,6 +482,35 @@
     assert!(pooler.counters().contains(" sent=3 "));
 }
 
+/// What a session's read has to see, where its client carries that, was not read: any replica would do.
+#[rstest]
+#[case::seen_by_the_replica(-1000, true)]
+#[case::not_seen_by_the_replica(1, false)]
+fn a_read_that_carries_a_commit_goes_where_that_is_known_to_be(
+    #[case] later: i64,
+    #[case] near_will_do: bool,
+) {
+    let (near, far, discovery) = (Db::new(), Db::new(), Discovery::new());
+    let writer = far.line("s-2", "there").replace(r#""since_ms""#, r#""access":"writer","since_ms""#);
+    let known = list(41, true, &[near.line("s-1", "here"), writer]);
+    let carried = (r#""writeMarks":"remembered""#, r#""writeMarks":"carried""#);
+    let pooler = Pooler::start(&known, &discovery, &[carried]);
+    let mut client = client(&pooler);
+    client.send(&query(&ask("0", "reports")));
+    let mut wire = near.accept();
+    asked(&mut wire);
+    let position = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as i64 - 60_000;
+    let clock = frame(b'S', format!("commit_clock\0{position}\0").as_bytes());
+    wire.send(&[row(VALUE), clock, served(VALUE, "reader")[row(VALUE).len()..].to_vec()].concat());
+    client.answer();
+    let carries = format!("cluster=2,after={}", position + later);
+    client.send(&query(&ask("1", "own-orders").replace("cluster=2", &carries)));
+    let mut wire = if near_will_do { wire } else { far.accept() };
+    assert!(asked(&mut wire).contains(&carries));
+    wire.send(&served(VALUE, "reader"));
+    assert_eq!(client.answer()[0].0, b'T');
+}
+
 #[test]
 fn an_id_that_is_in_use_is_not_taken_twice() {
     let db = Db::new();
