--- a/src/policy.rs
+++ b/src/policy.rs
@@ -392,7 +392,14 @@
             (Consistency::Session, Some(age)) if self.settings.tokens_carried => now - age,
             (Consistency::Session, _) if !self.settings.tokens_carried => {
                 let known = session.as_ref().and_then(|s| self.sessions.get(s));
-                known.copied().unwrap_or(self.forgotten)
+                // A write of it that is out may have run, and its answer be lost on the way.
+                let writes = |r: &Request| self.settings.classes[r.class].consistency == Consistency::Write;
+                let out = |r: &Request| r.session == session && writes(r) && !r.untried();
+                if self.requests.values().any(out) {
+                    now
+                } else {
+                    *known.unwrap_or(&self.forgotten)
+                }
             }
             _ => f64::NEG_INFINITY,
         };
@@ -701,7 +708,7 @@
         if !outcome.proves_untouched() && outcome != Outcome::Ok && request.risky.is_none() {
             request.risky = Some((sent, m));
         }
-        let session = request.session.clone().filter(|_| write && outcome == Outcome::Ok);
+        let session = request.session.clone().filter(|_| write && !outcome.proves_untouched());
         let (mean, deviation) = self.latency[class];
         let member = &mut self.members[m];
         member.in_flight = member.in_flight.saturating_sub(1);
@@ -765,8 +772,9 @@
             out.push(Action::LetGo { member: self.members[m].id.clone() });
         }
         if let Some(session) = session {
-            // An answer that does not tell the commit leaves no doubt that it was before now.
-            self.remember(session, position.filter(|p| *p <= self.now).unwrap_or(self.now));
+            // What does not tell the commit, or may have run, leaves no doubt that it was before now.
+            let told = position.filter(|p| outcome == Outcome::Ok && *p <= self.now);
+            self.remember(session, told.unwrap_or(self.now));
         }
         if finished || self.requests.get(&n).is_none_or(|r| r.done) {
             return self.finish(n);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1022,6 +1022,26 @@
     assert_eq!(sent(&d.feed(of_session("later", 2))), ["r"]);
 }
 
+/// Where writes are remembered, one that is out, or whose answer was lost, may have run: a read of its session that
+/// followed was answered by a replica without it.
+#[test]
+fn a_write_that_may_have_run_binds_the_sessions_reads() {
+    let mut d = Drive::new(Settings { when_behind: WhenBehind::Silent, tokens_carried: false, ..settings() });
+    d.freshen("r");
+    assert_eq!(sent(&d.feed(of_session("before", 2))), ["r"]);
+    // Of a class that is not repeated.
+    assert_eq!(sent(&d.feed(of_session("w", 5))), ["p"]);
+    d.now += 0.1;
+    d.freshen("r");
+    d.now += 0.1;
+    assert_eq!(sent(&d.feed(of_session("while it is out", 2))), ["p"]);
+    d.told("w", "p", 0, Outcome::Reset, None, None);
+    d.now += 0.1;
+    assert_eq!(sent(&d.feed(of_session("the replica is older than the loss", 2))), ["p"]);
+    d.freshen("r");
+    assert_eq!(sent(&d.feed(of_session("the replica is newer", 2))), ["r"]);
+}
+
 /// At a hundred proxies a tenant's part is under one request a second: it is still within its share.
 #[test]
 fn a_small_part_of_a_share_is_not_over_share() {
