--- a/src/config.rs
+++ b/src/config.rs
@@ -206,9 +206,9 @@
     pub tenants: Vec<String>,
     /// Names of the zones, in the order of the settings.
     pub zones: Vec<String>,
-    /// How long a db machine keeps an idle connection (seconds).
+    /// How long a database host keeps an idle connection (seconds).
     pub keepalive: f64,
-    /// The list of db machines as last held.
+    /// The list of database hosts as last held.
     pub(crate) known: News,
 }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,4 +1,4 @@
-//! Discovery's side: one watch on the list of db machines, over HTTP/1.1.
+//! Discovery's side: one watch on the list of database hosts, over HTTP/1.1.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -69,7 +69,7 @@
 /// The final answer to a query.
 #[derive(Debug)]
 pub(crate) enum Answer {
-    /// The value, in the form in which the db machine gave it.
+    /// The value, in the form in which the database host gave it.
     Served(Vec<u8>),
     /// Another try is harmless, after so many seconds; 0 for no advice.
     Refused(f64),
@@ -81,7 +81,7 @@
     Invalid(&'static str),
 }
 
-/// The list of db machines, or what has changed in it.
+/// The list of database hosts, or what has changed in it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct News {
     index: u64,
@@ -105,7 +105,7 @@
     primary: bool,
 }
 
-/// Something to send to a db machine.
+/// Something to send to a database host.
 #[derive(Clone, Debug)]
 pub(crate) enum Task {
     /// An attempt of a request, by its number.
--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -8,7 +8,7 @@
 
 /// Longest body of a message: its frame must fit a buffer together with it.
 const LONGEST: usize = BOUND - 5;
-/// Longest value, and the longest message of a db machine that holds a name or a tag, or any other text.
+/// Longest value, and the longest message of a database host that holds a name or a tag, or any other text.
 const LONGEST_VALUE: usize = 64 * 1024;
 const LONGEST_NAME: usize = 1024;
 const LONGEST_TEXT: usize = 8 * 1024;
@@ -78,7 +78,7 @@
     })
 }
 
-/// Takes the next whole message of a db machine, if it is there. One that no db machine would send is found
+/// Takes the next whole message of a database host, if it is there. One that no database host would send is found
 /// out by its head, so far as that shows it: nobody waits for the rest of what will never be whole.
 pub(crate) fn reply(ring: &mut Ring) -> Result<Option<Message>, FrameError> {
     let first = ring.first(1);
@@ -169,7 +169,7 @@
     out.push(0);
 }
 
-/// The first message to a db machine.
+/// The first message to a database host.
 pub(crate) fn hello(user: &str, database: &str) -> Vec<u8> {
     let mut out = vec![0; 4];
     out.extend(PROTOCOL.to_be_bytes());
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -77,7 +77,7 @@
             .map_err(|fault| io::Error::new(io::ErrorKind::InvalidInput, fault))?;
         let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR1])?;
         context.reactor.registry.register(&mut signals, Source::Signals.into(), Interest::READABLE)?;
-        // A client has at most one attempt out, so half the sockets are enough for the db machines' side.
+        // A client has at most one attempt out, so half the sockets are enough for the database hosts' side.
         // Half the memory is for buffers, statements and values, whoever needs them at the time.
         let sockets = config.sockets.saturating_sub(SPARES);
         let clients = sockets / 2;
@@ -184,7 +184,7 @@
             return self.clients.answer(client, Answer::Invalid("this class needs a key"), context);
         }
         let id = RequestId::from(query.id);
-        // Two requests of one id could not be told apart, and the db machine would see a second copy.
+        // Two requests of one id could not be told apart, and the database host would see a second copy.
         if self.requests.contains_key(&id) {
             return self.clients.answer(client, Answer::Invalid("this id is in use"), context);
         }
@@ -252,7 +252,7 @@
         request.out = None;
         let answer = match outcome {
             Outcome::Ok => Some(Answer::Served(value)),
-            Outcome::Rejected => Some(Answer::Invalid("no db machine takes this statement")),
+            Outcome::Rejected => Some(Answer::Invalid("no database host takes this statement")),
             _ => None,
         };
         let finished = answer.is_some() || request.client.is_none();
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -1,4 +1,4 @@
-//! The db machines' side: keeps connections to them and carries attempts and probes over these.
+//! The database hosts' side: keeps connections to them and carries attempts and probes over these.
 
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -25,10 +25,10 @@
 pub(crate) const REPORT_POSITION: &str = "x0";
 pub(crate) const REPORT_PRIMARY: &str = "x1";
 
-/// Share of the time that a db machine keeps an idle connection after which it is closed from here: what is
+/// Share of the time that a database host keeps an idle connection after which it is closed from here: what is
 /// written to one that the machine is just closing would end as a reset.
 const KEEP_SHARE: f64 = 0.7;
-/// Idle connections kept for one db machine.
+/// Idle connections kept for one database host.
 const KEEP_MOST: usize = 48;
 /// A machine off the list is forgotten after this (seconds), far past every deadline.
 const FORGET_AFTER: f64 = 60.0;
@@ -279,7 +279,7 @@
     }
 }
 
-/// A db machine as the list names it.
+/// A database host as the list names it.
 struct Machine {
     address: SocketAddr,
     since: f64,
@@ -290,7 +290,7 @@
     idle: Vec<Slot>,
 }
 
-/// All connections to db machines.
+/// All connections to database hosts.
 pub(crate) struct Servers {
     machines: HashMap<MemberId, Machine>,
     conns: Slots<Conn>,
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -1,4 +1,4 @@
-//! The pooler's program between scripted peers on loopback: clients, db machines and discovery, each driven
+//! The pooler's program between scripted peers on loopback: clients, database hosts and discovery, each driven
 //! by the test line by line. Every wait is for an event, and ends the test if that does not come.
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -271,14 +271,14 @@
     }
 }
 
-/// The next query that a db machine gets on a connection.
+/// The next query that a database host gets on a connection.
 pub fn asked(wire: &mut Wire) -> String {
     let (kind, body) = wire.next().expect("a query");
     assert_eq!(kind, b'Q');
     String::from_utf8(body[..body.len() - 1].to_vec()).unwrap()
 }
 
-/// The row with which a db machine answers; the value is binary.
+/// The row with which a database host answers; the value is binary.
 pub fn row(value: &[u8]) -> Vec<u8> {
     let column = [&(value.len() as u32).to_be_bytes()[..], value].concat();
     [
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -178,29 +178,18 @@
     assert_eq!(client.answer(), [(b'I', vec![])]);
 }
 
-#[test]
-fn the_attempt_of_a_client_that_leaves_is_given_up() {
-    let db = Db::new();
-    let (pooler, _discovery) = with_one(&db, &[]);
-    let mut client = client(&pooler);
-    client.send(&query(&ask("1", "reports")));
-    let mut wire = db.accept();
-    asked(&mut wire);
-    drop(client);
-    wire.ends();
-    assert!(pooler.counters().contains(" gone=1 overdue=0 rested=0 connected=1 sent=1 ok=0"));
-}
-
 /// While more waited to be read than one connection may hold, the end behind it went unseen, and the attempt on.
-#[test]
-fn a_client_that_leaves_behind_more_than_is_read_is_gone() {
+#[rstest]
+#[case::at_once(0)]
+#[case::behind_more_than_is_read(2000)]
+fn the_attempt_of_a_client_that_leaves_is_given_up(#[case] behind: usize) {
     let db = Db::new();
     let (pooler, _discovery) = with_one(&db, &[]);
     let mut client = client(&pooler);
     client.send(&query(&ask("1", "reports")));
     let mut wire = db.accept();
     asked(&mut wire);
-    client.send(&query(&ask("2", "reports")).repeat(2000));
+    client.send(&query(&ask("2", "reports")).repeat(behind));
     drop(client);
     wire.ends();
     assert!(pooler.counters().contains(" gone=1 overdue=0 rested=0 connected=1 sent=1 ok=0"));
@@ -224,7 +213,7 @@
         }
     };
     // A guess does nothing.
-    caller(&cancel.iter().map(|byte| byte ^ u8::from(*byte == cancel[15])).collect::<Vec<_>>());
+    caller(&[&cancel[..15], &[!cancel[15]]].concat());
     caller(&cancel);
     assert_eq!(client.error().0, "57014");
     wire.ends();
