--- a/src/policy.rs
+++ b/src/policy.rs
@@ -260,6 +260,8 @@
         let now = self.now;
         let member = &mut self.members[m];
         let position = position.filter(|p| p.is_finite() && *p <= now + 0.001);
+        // What tells of less than is known was written earlier, though it came later: it may be none by now.
+        let primary = primary.filter(|primary| !primary || position.is_none_or(|p| p >= member.position));
         if let Some(position) = position.filter(|p| *p > member.position) {
             member.position = position;
             member.position_at = now;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -263,6 +263,26 @@
     assert_eq!(sent(&next), ["r", "r"], "held requests go to the one that says it is primary");
 }
 
+/// An answer that was written while its member was primary, and came after one in which it said that it was none, counted
+/// as the newer word: a fresh read then went to a replica.
+#[test]
+fn a_claim_that_comes_late_is_as_old_as_its_position() {
+    let mut d = Drive::new(settings());
+    d.list(ListKind::Full, vec![entry("r", 0, false)]);
+    let begun = d.now;
+    assert_eq!(sent(&d.ask("late", 3)), ["r"]);
+    assert_eq!(sent(&d.ask("soon", 3)), ["r"]);
+    d.now += 0.2;
+    d.told("soon", "r", 0, Outcome::Ok, Some(false), Some(begun + 0.15));
+    d.now += 0.1;
+    d.told("late", "r", 0, Outcome::Ok, Some(true), Some(begun + 0.05));
+    d.now += 0.01;
+    assert_eq!(sent(&d.ask("fresh", 4)), [""; 0], "nobody is known to be primary");
+    // What one says of now counts: the held read goes there.
+    let goal = sent(&d.ask("again", 3))[0].to_string();
+    assert_eq!(sent(&d.told("again", &goal, 0, Outcome::Ok, Some(true), Some(d.now))), [goal.as_str()]);
+}
+
 #[test]
 fn a_newer_claim_beats_an_older_and_the_list() {
     let mut d = Drive::new(settings());
