--- a/src/policy.rs
+++ b/src/policy.rs
@@ -451,8 +451,7 @@
     fn conclude(&mut self, n: u64, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&n) else { return };
         let class = &self.settings.classes[request.class];
-        let outstanding = request.attempts.iter().any(|a| a.open);
-        let untouched = request.risky.is_none() && !outstanding;
+        let untouched = request.may_have_run_since().is_none();
         let dropped = class.effect == Effect::Keyed && class.dedup == Dedup::All;
         let harmless = class.effect == Effect::Safe || untouched || dropped;
         let id = request.id.clone();
@@ -477,14 +476,7 @@
         let class = &self.settings.classes[request.class];
         let (group, consistency) = (request.group, class.consistency);
         let cutoff = if class.late_worth > 0.0 { request.deadline } else { request.aim_at };
-        // A request that may have run goes on only as its class allows.
-        let closed = request.risky.is_some_and(|(sent, _)| match class.effect {
-            Effect::Safe => false,
-            Effect::Unsafe => true,
-            Effect::Keyed => self.now >= sent + class.dedup_window - self.settings.connect_timeout,
-        });
-        let spent = request.attempts.len() as u32 >= self.settings.max_attempts;
-        if closed || spent || self.now >= cutoff {
+        if !self.may_attempt(request) || self.now >= cutoff {
             return self.conclude(n, out);
         }
         let bound = matches!(consistency, Consistency::Write | Consistency::Fresh);
@@ -511,6 +503,19 @@
         }
     }
 
+    /// Whether a request may have one more attempt. One that may have run, or is out, is repeated only as its
+    /// class allows: inside the window of a key, from the first such attempt, less the time to connect.
+    fn may_attempt(&self, request: &Request) -> bool {
+        let class = &self.settings.classes[request.class];
+        let alone = self.settings.may_duplicate || request.attempts.iter().all(|a| !a.open);
+        let repeatable = request.may_have_run_since().is_none_or(|sent| match class.effect {
+            Effect::Safe => true,
+            Effect::Unsafe => false,
+            Effect::Keyed => self.now < sent + class.dedup_window - self.settings.connect_timeout,
+        });
+        alone && repeatable && (request.attempts.len() as u32) < self.settings.max_attempts
+    }
+
     /// Where a request that needs the primary goes.
     fn pick_primary(&self, n: u64) -> Choice {
         let Some(request) = self.requests.get(&n) else { return Choice::Refuse };
@@ -677,6 +682,10 @@
 
     fn send(&mut self, n: u64, m: usize, out: &mut Vec<Action>) {
         let now = self.now;
+        // No send goes round this, whatever picked it.
+        let group = self.members[m].group;
+        let may = |r: &&Request| r.group == group && self.may_attempt(r);
+        let Some(since) = self.requests.get(&n).filter(may).map(Request::may_have_run_since) else { return };
         let Some(request) = self.requests.get_mut(&n) else { return };
         let member = &mut self.members[m];
         if member.ejected {
@@ -689,8 +698,8 @@
         request.attempts.push(Attempt::new(m, now));
         // A repeat may not wait in a queue until after its window.
         let class = &self.settings.classes[request.class];
-        let window = match request.risky {
-            Some((first, _)) if class.effect == Effect::Keyed => first + class.dedup_window,
+        let window = match since {
+            Some(first) if class.effect == Effect::Keyed => first + class.dedup_window,
             _ => f64::INFINITY,
         };
         let timeout = (request.deadline.min(window) - now).max(self.settings.tick);
@@ -705,11 +714,9 @@
         let Some(a) = request.attempts.get_mut(attempt).filter(|a| a.open) else { return };
         a.open = false;
         a.unsent = matches!(outcome, Outcome::ConnectFailed | Outcome::Moot);
+        a.may_have_run = !outcome.proves_untouched() && outcome != Outcome::Ok;
         let (sent, cancelled, overdue) = (a.sent, a.cancelled, a.overdue);
         let write = self.settings.classes[class].consistency == Consistency::Write;
-        if !outcome.proves_untouched() && outcome != Outcome::Ok && request.risky.is_none() {
-            request.risky = Some((sent, m));
-        }
         let session = request.session.clone().filter(|_| write && !outcome.proves_untouched());
         let (mean, deviation) = self.latency[class];
         let member = &mut self.members[m];
@@ -889,9 +896,17 @@
                 continue;
             }
             if self.settings.may_duplicate && class.consistency != Consistency::Fresh {
-                if let Choice::To(other) = self.pick_read(n) {
-                    self.retries -= 1.0;
-                    self.send(n, other, out);
+                let write = class.consistency == Consistency::Write;
+                if !self.requests.get(&n).is_some_and(|r| self.may_attempt(r)) {
+                    continue;
+                }
+                // The primary that has it already will not answer a second time either.
+                let choice = if write { self.pick_primary(n) } else { self.pick_read(n) };
+                if let Choice::To(other) = choice {
+                    if other != m {
+                        self.retries -= 1.0;
+                        self.send(n, other, out);
+                    }
                 }
             } else if (silent || lost) && self.settings.cancel {
                 if let Some(request) = self.requests.get_mut(&n) {
@@ -944,9 +959,10 @@
             let busy = state.scout.as_ref().is_some_and(out_now);
             let fits = |r: &Request| {
                 let write = self.settings.classes[r.class].consistency == Consistency::Write;
-                let spent = r.attempts.len() as u32 >= self.settings.max_attempts || self.now >= r.deadline;
-                write && !spent && !r.done && r.risky.is_none()
+                let untouched = r.may_have_run_since().is_none();
+                write && untouched && !r.done && self.now < r.deadline && self.may_attempt(r)
             };
+            let Some(state) = self.groups.get(&group) else { return };
             let mut held = state.held.iter().copied();
             let Some(n) = held.find(|n| !busy && self.requests.get(n).is_some_and(fits)) else { return };
             let request = &self.requests[&n];
--- a/src/state.rs
+++ b/src/state.rs
@@ -99,12 +99,15 @@
     pub overdue: bool,
     /// It never reached its member.
     pub unsent: bool,
+    /// It ended in a way that leaves open whether it ran.
+    pub may_have_run: bool,
 }
 
 impl Attempt {
     /// An attempt just sent.
     pub fn new(member: usize, sent: f64) -> Attempt {
-        Attempt { member, sent, open: true, cancelled: false, overdue: false, unsent: false }
+        let (cancelled, overdue, unsent, may_have_run) = (false, false, false, false);
+        Attempt { member, sent, open: true, cancelled, overdue, unsent, may_have_run }
     }
 }
 
@@ -124,8 +127,6 @@
     /// Drawn once from 0 to 1: decides where only a share of all requests may go.
     pub lot: f64,
     pub attempts: Vec<Attempt>,
-    /// First attempt that may have run: when and where.
-    pub risky: Option<(f64, usize)>,
     pub held: bool,
     pub done: bool,
 }
@@ -145,12 +146,16 @@
             session: None,
             lot: 0.0,
             attempts: Vec::new(),
-            risky: None,
             held: false,
             done: false,
         }
     }
 
+    /// When the first attempt was sent that may have run, or is out and may run yet.
+    pub fn may_have_run_since(&self) -> Option<f64> {
+        self.attempts.iter().filter(|a| a.open || a.may_have_run).map(|a| a.sent).reduce(f64::min)
+    }
+
     /// Whether no member has got it, as far as is known.
     pub fn untried(&self) -> bool {
         self.attempts.iter().all(|a| a.unsent)
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -363,6 +363,77 @@
     assert!(!cancelled(false).0, "a silent primary may be slow: its writes are not sent twice");
 }
 
+/// A write that its primary "p" passes over for twenty later ones. After `list_at` seconds the list names "far" as the
+/// primary, and then half a second passes.
+fn passed_over(settings: Settings, list_at: f64) -> Drive {
+    let mut d = Drive::new(settings);
+    d.ask("lost", 0);
+    for i in 0..20 {
+        d.pass(list_at / 20.0 * 0.75);
+        let id = format!("w{i}");
+        d.ask(&id, 0);
+        d.pass(list_at / 20.0 * 0.25);
+        d.told(&id, "p", 0, Outcome::Ok, Some(true), None);
+    }
+    d.list(ListKind::Incremental, vec![entry("far", 1, true), entry("p", 0, false)]);
+    d.told("none", "far", 0, Outcome::Ok, Some(true), None);
+    d.told("none", "p", 0, Outcome::Ok, Some(false), None);
+    d.pass(0.5);
+    d
+}
+
+/// Where and with which time-out a request was sent.
+fn sends_of(d: &Drive, request: &str) -> Vec<(String, f64)> {
+    let send = |action: &Action| match action {
+        Action::Send { id, member, timeout } if &**id == request => Some((member.to_string(), *timeout)),
+        _ => None,
+    };
+    d.acts.iter().filter_map(send).collect()
+}
+
+/// Settings that allow second copies, with that window for the keyed writes.
+fn second_copies(window: f64) -> Settings {
+    let mut settings = Settings { may_duplicate: true, ..settings() };
+    settings.classes[0].dedup_window = window;
+    settings
+}
+
+/// On a trial variant a keyed write went out again half a second after its window, when a replica took over.
+#[rstest]
+#[case::long_over(0.5, 1)]
+#[case::over_but_for_the_time_to_connect(1.0, 1)]
+#[case::open(2.0, 2)]
+fn a_second_copy_of_a_keyed_write_stays_inside_its_window(#[case] window: f64, #[case] times: usize) {
+    let d = passed_over(second_copies(window), 0.8);
+    assert_eq!(sends_of(&d, "lost").len(), times, "{:?}", sends_of(&d, "lost"));
+}
+
+#[test]
+fn a_second_copy_may_not_wait_until_after_the_window() {
+    let d = passed_over(second_copies(1.3), 0.8);
+    let sends = sends_of(&d, "lost");
+    assert_eq!(sends[1].0, "far", "a write goes to the primary, no other member takes it");
+    assert!(sends[1].1 <= 0.5, "{sends:?}");
+}
+
+#[test]
+fn second_copies_count_among_the_attempts_that_are_allowed() {
+    let d = passed_over(Settings { max_attempts: 1, ..second_copies(2.0) }, 0.8);
+    assert_eq!(sends_of(&d, "lost").len(), 1);
+}
+
+/// The window counted from the attempt whose end came first, which with two out need not be the first sent.
+#[test]
+fn a_window_counts_from_the_first_attempt_that_was_sent() {
+    let mut d = passed_over(second_copies(1.3), 0.8);
+    assert_eq!(sends_of(&d, "lost").len(), 2);
+    d.answer("lost", "far", 1, Outcome::Error);
+    d.pass(0.05);
+    d.answer("lost", "p", 0, Outcome::Reset);
+    assert_eq!(sends_of(&d, "lost").len(), 2, "1.35 s after the first");
+    assert_eq!(finals(&d.acts), 1);
+}
+
 #[test]
 fn never_two_attempts_out_where_they_may_not_be() {
     let mut d = Drive::new(settings());
