--- a/src/adapter/main.rs
+++ b/src/adapter/main.rs
@@ -1,4 +1,4 @@
-//! Runs dewferry instances on the simulator's wire: lines in, lines out, one flush a batch.
+//! Runs pg-pooler instances on the simulator's wire: lines in, lines out, one flush a batch.
 #![forbid(unsafe_code)]
 
 mod wire;
@@ -19,7 +19,7 @@
             Ok(0) => return ExitCode::SUCCESS,
             Ok(_) => {}
             Err(error) => {
-                eprintln!("dewferry-adapter: line {number}: cannot read: {error}");
+                eprintln!("pg-pooler-sim-adapter: line {number}: cannot read: {error}");
                 return ExitCode::from(2);
             }
         }
@@ -34,7 +34,7 @@
                 }
             }
             Err(message) => {
-                eprintln!("dewferry-adapter: line {number}: {message}");
+                eprintln!("pg-pooler-sim-adapter: line {number}: {message}");
                 return ExitCode::from(2);
             }
         }
--- a/src/adapter/wire.rs
+++ b/src/adapter/wire.rs
@@ -4,15 +4,17 @@
 use std::io::Write;
 use std::sync::Arc;
 
-use dewferry::interface::{Action, Arrival, Done, Entry, Event, ListKind, Outcome, Phase, Report};
-use dewferry::Policy;
+use pg_pooler::interface::{
+    Action, AttemptResult, Endpoint, EndpointStatus, Event, LoadReport, Outcome, Request, UpdateKind,
+};
+use pg_pooler::Policy;
 use serde_json::{json, Value};
 
 /// The instances hosted by this process, and the batch being read.
 #[derive(Default)]
 pub struct Host {
     now: f64,
-    banks: BTreeMap<u64, Vec<Entry>>,
+    banks: BTreeMap<u64, Vec<Endpoint>>,
     instances: BTreeMap<i64, (Policy, f64)>,
     replies: Vec<(i64, Action)>,
 }
@@ -70,12 +72,12 @@
             "inventory" => {
                 let bank = fields.whole(0, "bank")? as u64;
                 let list = fields.at(1).as_array().ok_or("'membersList' is not an array")?;
-                let entries = list.iter().map(entry).collect::<Result<_, _>>()?;
-                self.banks.insert(bank, entries);
+                let endpoints = list.iter().map(entry).collect::<Result<_, _>>()?;
+                self.banks.insert(bank, endpoints);
             }
             "openInstance" => {
                 let info = fields.at(2);
-                let settings = dewferry::config::settings(&info.to_string())
+                let settings = pg_pooler::config::settings(&info.to_string())
                     .map_err(|fault| format!("in 'info': {fault}"))?;
                 let base = info["specifics"]["baseTime"].as_f64().unwrap_or(0.0);
                 let seed = fields.at(1);
@@ -108,44 +110,44 @@
         Ok(Some(match name {
             "members" => {
                 let kind = match fields.text(1, "kind")? {
-                    "INCREMENTAL" => ListKind::Incremental,
-                    "FULL" => ListKind::Full,
-                    "SAVED" => ListKind::Saved,
-                    "FAILED" => ListKind::Failed,
+                    "INCREMENTAL" => UpdateKind::Delta,
+                    "FULL" => UpdateKind::Snapshot,
+                    "SAVED" => UpdateKind::Cached,
+                    "FAILED" => UpdateKind::WatchFailed,
                     other => return Err(format!("unknown list kind '{other}'")),
                 };
                 let bank = fields.whole(3, "bank")? as u64;
-                let entries = match kind {
-                    ListKind::Failed => Vec::new(),
+                let endpoints = match kind {
+                    UpdateKind::WatchFailed => Vec::new(),
                     _ => self.banks.get(&bank).cloned().ok_or_else(|| format!("no inventory {bank}"))?,
                 };
-                Event::Members { kind, entries }
+                Event::Endpoints { kind, endpoints }
             }
             "arrival" => {
                 let options = fields.whole(6, "opts")?;
-                Event::Arrival(Arrival {
+                Event::Request(Request {
                     id: fields.text(1, "corr")?.into(),
-                    left: fields.number(2, "expiresIn")?,
-                    token_age: Some(fields.number_or(3, "tokenAgeMs", 0.0)? / 1000.0)
+                    timeout: fields.number(2, "expiresIn")?,
+                    session_token_age: Some(fields.number_or(3, "tokenAgeMs", 0.0)? / 1000.0)
                         .filter(|age| *age > 0.0),
                     session: fields.at(4).as_str().map(Arc::from),
                     tenant: fields.whole(5, "realm")? as usize,
-                    predicted: fields.at(7).as_f64().filter(|_| options & 1 != 0),
-                    repeat: options & 2 != 0,
+                    predicted_work: fields.at(7).as_f64().filter(|_| options & 1 != 0),
+                    client_retry: options & 2 != 0,
                     class: fields.whole(8, "tierClass")? as usize,
                     group: fields.whole(9, "clusterNo")? as u32,
                 })
             }
             "done" => {
                 let note = fields.whole(2, "posRole")?;
-                Event::Done(Done {
+                Event::AttemptFinished(AttemptResult {
                     id: fields.text(1, "corr")?.into(),
-                    member: fields.text(3, "member")?.into(),
-                    finished: fields.flag(4),
+                    endpoint: fields.text(3, "member")?.into(),
+                    request_finished: fields.flag(4),
                     elapsed: fields.number_or(5, "costTime", 0.0)?,
                     attempt: fields.whole(6, "sendNo")? as usize,
                     outcome: outcome(fields.whole(7, "result")?)?,
-                    position: Some(note >> 2).filter(|ms| *ms > 0).map(|ms| base + ms as f64 / 1000.0),
+                    log_position: Some(note >> 2).filter(|ms| *ms > 0).map(|ms| base + ms as f64 / 1000.0),
                     primary: match note & 3 {
                         1 => Some(true),
                         2 => Some(false),
@@ -154,13 +156,13 @@
                     report: report(fields.at(8), base),
                 })
             }
-            "echo" => Event::Probed {
-                member: fields.text(1, "member")?.into(),
+            "echo" => Event::HealthChecked {
+                endpoint: fields.text(1, "member")?.into(),
                 outcome: outcome(fields.whole(2, "result")?)?,
                 report: report(fields.at(4), base),
             },
-            "accepted" => Event::Started { id: fields.text(1, "corr")?.into() },
-            "cancelledByClient" => Event::Gone { id: fields.text(1, "corr")?.into() },
+            "accepted" => Event::ResponseStarted { id: fields.text(1, "corr")?.into() },
+            "cancelledByClient" => Event::ClientDisconnected { id: fields.text(1, "corr")?.into() },
             "timeoutFired" => Event::Timer { cookie: fields.whole(1, "cookie")? as u64 },
             other => return Err(format!("unknown message '{other}'")),
         }))
@@ -169,15 +171,17 @@
     fn reply(&mut self, output: &mut impl Write) -> std::io::Result<()> {
         for (number, action) in self.replies.drain(..) {
             let line = match action {
-                Action::Send { id, member, timeout } => json!(["forward", number, &*id, &*member, timeout]),
-                Action::Cancel { id, attempt } => json!(["cancel", number, &*id, attempt]),
-                Action::Refuse { id, backoff } => json!(["decline", number, &*id, backoff]),
+                Action::Send { id, endpoint, timeout } => {
+                    json!(["forward", number, &*id, &*endpoint, timeout])
+                }
+                Action::CancelAttempt { id, attempt } => json!(["cancel", number, &*id, attempt]),
+                Action::Reject { id, retry_after } => json!(["decline", number, &*id, retry_after]),
                 Action::Fail { id } => json!(["fail", number, &*id]),
-                Action::Timer { at, cookie } => json!(["remind", number, at, cookie]),
-                Action::Probe { member } => json!(["touch", number, &*member]),
-                Action::LetGo { member } => json!(["letGo", number, &*member]),
-                Action::Listen => json!(["listen", number, true]),
-                Action::Log(text) => json!(["journalLine", number, text]),
+                Action::SetTimer { at, cookie } => json!(["remind", number, at, cookie]),
+                Action::HealthCheck { endpoint } => json!(["touch", number, &*endpoint]),
+                Action::CloseIdleConnections { endpoint } => json!(["letGo", number, &*endpoint]),
+                Action::Watch => json!(["listen", number, true]),
+                Action::Log(text) => json!(["journalLine", number, text.to_string()]),
             };
             writeln!(output, "{line}")?;
         }
@@ -192,35 +196,35 @@
 fn outcome(code: i64) -> Result<Outcome, Fault> {
     Ok(match code {
         0 => Outcome::Error,
-        1 => Outcome::Ok,
-        2 => Outcome::Full,
+        1 => Outcome::Success,
+        2 => Outcome::Overloaded,
         3 => Outcome::Timeout,
         4 => Outcome::ConnectFailed,
-        5 => Outcome::Reset,
+        5 => Outcome::ConnectionReset,
         6 => Outcome::Cancelled,
-        7 => Outcome::Moot,
-        8 => Outcome::Miss,
+        7 => Outcome::NotSent,
+        8 => Outcome::Ineligible,
         other => return Err(format!("unknown outcome {other}")),
     })
 }
 
-fn report(load: &Value, base: f64) -> Report {
-    Report {
-        position: load["x0"].as_f64().map(|x0| base + x0),
+fn report(load: &Value, base: f64) -> LoadReport {
+    LoadReport {
+        log_position: load["x0"].as_f64().map(|x0| base + x0),
         primary: load["x1"].as_f64().map(|x1| x1 == 1.0),
     }
 }
 
-fn entry(value: &Value) -> Result<Entry, Fault> {
+fn entry(value: &Value) -> Result<Endpoint, Fault> {
     let fields = Fields(value.as_array().ok_or("a list entry is not an array")?);
-    Ok(Entry {
-        member: fields.text(0, "member")?.into(),
+    Ok(Endpoint {
+        id: fields.text(0, "member")?.into(),
         zone: fields.whole(1, "failureDomain")? as u32,
         group: fields.whole(3, "cell")? as u32,
-        phase: match fields.text(4, "phase")? {
-            "active" => Phase::Active,
-            "leaving" => Phase::Leaving,
-            "left" => Phase::Left,
+        status: match fields.text(4, "phase")? {
+            "active" => EndpointStatus::Serving,
+            "leaving" => EndpointStatus::Draining,
+            "left" => EndpointStatus::Removed,
             other => return Err(format!("unknown phase '{other}'")),
         },
         started_at: fields.number_or(6, "startedAt", 0.0)?,
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -7,7 +7,7 @@
 
 use crate::config::Config;
 
-/// dewferry: a pooler that sends each read and write of a replicated database where it belongs.
+/// pg-pooler: a pooler that sends each read and write of a replicated database where it belongs.
 #[derive(FromArgs)]
 struct Args {
     #[argh(subcommand)]
@@ -53,7 +53,7 @@
             crate::net::serve(&config, &path).map_err(|error| format!("cannot serve: {error}"))
         }),
         Command::Version(Version {}) => {
-            println!("dewferry {}", env!("CARGO_PKG_VERSION"));
+            println!("pg-pooler {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
         Command::CheckConfig(CheckConfig { config }) => load(config).map(|(_, config)| {
@@ -69,7 +69,7 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("dewferry: {message}");
+            eprintln!("pg-pooler: {message}");
             ExitCode::from(2)
         }
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -8,8 +8,12 @@
 
 use tinyjson::JsonValue;
 
-use crate::interface::{Class, Consistency, Dedup, Effect, Settings, WhenBehind};
-use crate::net::{discovery, News, REPORT_POSITION, REPORT_PRIMARY};
+use crate::endpoint_list::EndpointList;
+use crate::load_report::{LOG_POSITION_FIELD, PRIMARY_FIELD};
+use crate::net::discovery;
+use crate::settings::{
+    Consistency, DeduplicationScope, Idempotency, RequestClass, Settings, StaleReadHandling,
+};
 
 /// Deepest nesting of JSON that is read. Guards the stack: the parser calls itself once a level.
 pub(crate) const DEEPEST: usize = 32;
@@ -108,7 +112,7 @@
 fn probes_tell(reports: Node) -> bool {
     let fields = reports.at("fields").items();
     let named = |fields: &[JsonValue]| {
-        fields.iter().any(|field| matches!(Node::new(field).text(), Some(REPORT_POSITION | REPORT_PRIMARY)))
+        fields.iter().any(|field| matches!(Node::new(field).text(), Some(LOG_POSITION_FIELD | PRIMARY_FIELD)))
     };
     reports.at("how").text() != Some("silent") && fields.is_none_or(named)
 }
@@ -124,30 +128,32 @@
     let bound = |index: usize| bounds.get(index).and_then(|b| Node::new(b).number()).unwrap_or(0.0);
     let mut classes = Vec::new();
     for (index, class) in list.iter().map(Node::new).enumerate() {
-        classes.push(Class {
-            aim: class.number_or("aim", 1.0)?,
-            aim_stretch: class.number_or("aimStretch", 0.0)?,
+        classes.push(RequestClass {
+            latency_objective: class.number_or("aim", 1.0)?,
+            latency_objective_factor: class.number_or("aimStretch", 0.0)?,
             deadline: class.number_or("deadline", 1.0)?,
-            dedup_window: class.number_or("dedupWindow", 0.0)?,
-            effect: match class.at("effect").text() {
-                Some("read_like") => Effect::Safe,
+            deduplication_window: class.number_or("dedupWindow", 0.0)?,
+            idempotency: match class.at("effect").text() {
+                Some("read_like") => Idempotency::Idempotent,
                 // A scope that is no part of the interface: never repeated.
-                Some("idempotency_key") if class.at("group").text() == Some("zone") => Effect::Unsafe,
-                Some("idempotency_key") => Effect::Keyed,
-                _ => Effect::Unsafe,
+                Some("idempotency_key") if class.at("group").text() == Some("zone") => {
+                    Idempotency::NonIdempotent
+                }
+                Some("idempotency_key") => Idempotency::IdempotencyKey,
+                _ => Idempotency::NonIdempotent,
             },
-            dedup: match class.at("group").text() {
-                Some("all") => Dedup::All,
-                _ => Dedup::Cell,
+            deduplication_scope: match class.at("group").text() {
+                Some("all") => DeduplicationScope::AnyEndpoint,
+                _ => DeduplicationScope::Group,
             },
-            late_worth: class.number_or("lateWorth", 0.0)?,
-            value: class.number_or("value", 1.0)?,
+            late_weight: class.number_or("lateWorth", 0.0)?,
+            priority_weight: class.number_or("value", 1.0)?,
             consistency: match Node::new(&levels[index]).text() {
                 Some("write") => Consistency::Write,
                 Some("session") => Consistency::Session,
-                Some("bounded") => Consistency::Bounded(bound(index)),
-                Some("any") => Consistency::Any,
-                _ => Consistency::Fresh,
+                Some("bounded") => Consistency::BoundedStaleness(bound(index)),
+                Some("any") => Consistency::Eventual,
+                _ => Consistency::Strong,
             },
         });
     }
@@ -156,30 +162,30 @@
     Ok(Settings {
         classes,
         tenant_quota: tenants.map(quota).collect::<Result<_, _>>()?,
-        over_share_worth: info.number_or("overShareWorth", 1.0)?,
-        fleet_size: info.number_or("fleetSize", 1.0)? as u32,
+        over_quota_weight: info.number_or("overShareWorth", 1.0)?,
+        pooler_count: info.number_or("fleetSize", 1.0)? as u32,
         zone: info.number_or("zone", 0.0)? as u32,
         tick: info.number_or("tick", 0.005)?,
-        probes: limits.at("probes").flag() && probes_tell(info.at("loadInfo")),
-        cancel: limits.at("cancel").flag(),
-        may_duplicate: limits.at("mayDuplicate").flag(),
+        health_checks: limits.at("probes").flag() && probes_tell(info.at("loadInfo")),
+        cancellation: limits.at("cancel").flag(),
+        hedging: limits.at("mayDuplicate").flag(),
         max_attempts: limits.number_or("maxAttempts", 1.0)? as u32,
-        retry_after: limits.at("retryAfter").flag(),
+        send_retry_after: limits.at("retryAfter").flag(),
         max_retry_after: limits.number_or("maxRetryAfter", 0.0)?,
         connect_timeout: limits.number_or("connectTimeout", 0.25)?,
-        subscribe: info.at("registryMode").text() == Some("subscribe"),
-        ask_within: rules.number_or("askWithin", 10.0)?,
-        cold_from: rules.number_or("coldFrom", 1.0)?,
-        warm_up: rules.number_or("warmUp", 0.0)?,
-        tip_multiple: rules.number_or("tipMultiple", f64::INFINITY)?,
-        fall: rules.number_or("fall", 1.0)?,
-        gone_is_advice: rules.at("goneIsAdvice").flag(),
-        when_behind: match specifics.at("whenBehind").text() {
-            Some("refuse") => WhenBehind::Refuse,
-            Some("wait") => WhenBehind::Wait(specifics.number_or("wait", 0.0)?),
-            _ => WhenBehind::Silent,
+        watch_endpoints: info.at("registryMode").text() == Some("subscribe"),
+        max_watch_gap: rules.number_or("askWithin", 10.0)?,
+        initial_capacity: rules.number_or("coldFrom", 1.0)?,
+        slow_start_window: rules.number_or("warmUp", 0.0)?,
+        overload_limit: rules.number_or("tipMultiple", f64::INFINITY)?,
+        overload_window: rules.number_or("fall", 1.0)?,
+        removal_is_advisory: rules.at("goneIsAdvice").flag(),
+        stale_reads: match specifics.at("whenBehind").text() {
+            Some("refuse") => StaleReadHandling::Reject,
+            Some("wait") => StaleReadHandling::WaitThenReject(specifics.number_or("wait", 0.0)?),
+            _ => StaleReadHandling::Serve,
         },
-        tokens_carried: specifics.at("writeMarks").text() == Some("carried"),
+        session_tokens_carried: specifics.at("writeMarks").text() == Some("carried"),
     })
 }
 
@@ -209,7 +215,7 @@
     /// How long a database host keeps an idle connection (seconds).
     pub keepalive: f64,
     /// The list of database hosts as last held.
-    pub(crate) known: News,
+    pub(crate) known: EndpointList,
 }
 
 impl Config {
@@ -239,14 +245,14 @@
         let seed = root.need_text("seed")?;
         let mut settings = decode(info).map_err(|ConfigError(fault)| format!("in 'settings': {fault}"))?;
         // On sockets discovery says nothing unasked, whatever the mode that the settings name.
-        settings.subscribe = true;
-        crate::check::check(&settings).map_err(|fault| format!("in 'settings': {fault}"))?;
+        settings.watch_endpoints = true;
+        crate::settings::validate(&settings).map_err(|fault| format!("in 'settings': {fault}"))?;
         let keepalive = info.at("limits").number_or("keepalive", 15.0)?;
         if !(keepalive > 0.0 && keepalive.is_finite()) {
             return Err("'keepalive' must be a finite time above 0".to_string().into());
         }
         Ok(Config {
-            name: root.at("name").text().unwrap_or("dewferry").to_string(),
+            name: root.at("name").text().unwrap_or("pg-pooler").to_string(),
             listen: address("listen")?,
             discovery: address("discovery")?,
             seed: u64::from_str_radix(seed, 16)
@@ -259,7 +265,7 @@
             zones: names("zones")?,
             keepalive,
             // An old list that cannot be read is worth no more than none: discovery has a new one.
-            known: discovery::news(root.at("known")).unwrap_or_default(),
+            known: discovery::endpoint_list(root.at("known")).unwrap_or_default(),
         })
     }
 }
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -7,48 +7,48 @@
 /// What was taken in, sent and answered since the start.
 #[derive(Default)]
 pub(crate) struct Counters {
-    pub clients: u64,
-    pub taken: u64,
+    pub clients_accepted: u64,
+    pub requests_received: u64,
     pub malformed: u64,
     /// Clients that did not ask, end a message or read in time.
-    pub overdue: u64,
+    pub client_timeouts: u64,
     /// Clients whose connection was closed because it had rested for too long.
-    pub rested: u64,
+    pub idle_closed: u64,
     pub served: u64,
-    pub refused: u64,
+    pub rejected: u64,
     pub failed: u64,
-    pub gone: u64,
+    pub client_disconnects: u64,
     /// Of those gone, clients that asked for their query to be cancelled and stayed.
-    pub cancelled: u64,
-    pub sent: u64,
-    pub probed: u64,
+    pub cancel_requests: u64,
+    pub attempts_sent: u64,
+    pub health_checks_sent: u64,
     /// Answers that were none, what came behind an answer or without a request, and reports that could not be
     /// read.
-    pub spoilt: u64,
-    pub stray: u64,
-    pub unreadable: u64,
-    pub connected: u64,
+    pub malformed_answers: u64,
+    pub unsolicited_messages: u64,
+    pub unreadable_reports: u64,
+    pub backend_connects: u64,
     /// How attempts and probes ended, in the order of [`OUTCOMES`].
-    pub attempts: [u64; OUTCOMES.len()],
-    pub probes: [u64; OUTCOMES.len()],
-    pub lists: u64,
-    pub lists_failed: u64,
+    pub attempt_outcomes: [u64; OUTCOMES.len()],
+    pub health_check_outcomes: [u64; OUTCOMES.len()],
+    pub endpoint_updates: u64,
+    pub watch_failures: u64,
     /// Times that the configuration was read again, and that it could not be used.
     pub reloads: u64,
-    pub reloads_failed: u64,
+    pub reload_failures: u64,
 }
 
 const OUTCOMES: [(Outcome, &str); 10] = [
-    (Outcome::Ok, "ok"),
+    (Outcome::Success, "success"),
     (Outcome::Error, "error"),
-    (Outcome::Full, "full"),
+    (Outcome::Overloaded, "overloaded"),
     (Outcome::Timeout, "timeout"),
     (Outcome::ConnectFailed, "connect_failed"),
-    (Outcome::Reset, "reset"),
+    (Outcome::ConnectionReset, "connection_reset"),
     (Outcome::Cancelled, "cancelled"),
-    (Outcome::Moot, "moot"),
-    (Outcome::Miss, "miss"),
-    (Outcome::Rejected, "rejected"),
+    (Outcome::NotSent, "not_sent"),
+    (Outcome::Ineligible, "ineligible"),
+    (Outcome::InvalidRequest, "invalid_request"),
 ];
 
 /// Counts one outcome in `counts`.
@@ -60,20 +60,35 @@
 
 impl fmt::Display for Counters {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Counters { clients, taken, malformed, served, refused, failed, gone, .. } = self;
-        write!(f, "clients={clients} taken={taken} malformed={malformed} served={served} refused={refused}")?;
-        write!(f, " failed={failed} gone={gone} overdue={} rested={}", self.overdue, self.rested)?;
-        write!(f, " connected={} sent={}", self.connected, self.sent)?;
-        for ((_, name), count) in OUTCOMES.iter().zip(self.attempts) {
+        let Counters {
+            clients_accepted,
+            requests_received,
+            malformed,
+            served,
+            rejected,
+            failed,
+            client_disconnects,
+            ..
+        } = self;
+        write!(f, "clients_accepted={clients_accepted} requests_received={requests_received} malformed={malformed} served={served}")?;
+        write!(f, " rejected={rejected} failed={failed} client_disconnects={client_disconnects} client_timeouts={} idle_closed={}", self.client_timeouts, self.idle_closed)?;
+        write!(f, " backend_connects={} attempts_sent={}", self.backend_connects, self.attempts_sent)?;
+        for ((_, name), count) in OUTCOMES.iter().zip(self.attempt_outcomes) {
             write!(f, " {name}={count}")?;
         }
-        write!(f, " probed={}", self.probed)?;
-        for ((_, name), count) in OUTCOMES.iter().zip(self.probes).filter(|(_, count)| *count > 0) {
-            write!(f, " probe_{name}={count}")?;
+        write!(f, " health_checks_sent={}", self.health_checks_sent)?;
+        for ((_, name), count) in
+            OUTCOMES.iter().zip(self.health_check_outcomes).filter(|(_, count)| *count > 0)
+        {
+            write!(f, " health_check_{name}={count}")?;
         }
-        write!(f, " spoilt={} stray={} unreadable={}", self.spoilt, self.stray, self.unreadable)?;
-        write!(f, " lists={} lists_failed={}", self.lists, self.lists_failed)?;
-        write!(f, " reloads={} reloads_failed={}", self.reloads, self.reloads_failed)?;
-        write!(f, " cancelled={}", self.cancelled)
+        write!(
+            f,
+            " malformed_answers={} unsolicited_messages={} unreadable_reports={}",
+            self.malformed_answers, self.unsolicited_messages, self.unreadable_reports
+        )?;
+        write!(f, " endpoint_updates={} watch_failures={}", self.endpoint_updates, self.watch_failures)?;
+        write!(f, " reloads={} reload_failures={}", self.reloads, self.reload_failures)?;
+        write!(f, " cancel_requests={}", self.cancel_requests)
     }
 }
--- /dev/null
+++ b/src/interface/event.rs
@@ -0,0 +1,107 @@
+//! What the host tells the policy.
+
+use super::{Endpoint, EndpointId, LoadReport, Outcome, RequestId, UpdateKind};
+use std::sync::Arc;
+
+/// A request as it was received from a client.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its identifier.
+    pub id: RequestId,
+    /// Its class, by number.
+    pub class: usize,
+    /// The group that holds its data.
+    pub group: u32,
+    /// Time until the client stops waiting.
+    pub timeout: f64,
+    /// Age of the session's last write, where the client carries it.
+    pub session_token_age: Option<f64>,
+    /// Its session.
+    pub session: Option<Arc<str>>,
+    /// Its tenant, by number.
+    pub tenant: usize,
+    /// Predicted work (seconds), where known.
+    pub predicted_work: Option<f64>,
+    /// Whether the client marked it as a retry of its own.
+    pub client_retry: bool,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug)]
+pub struct AttemptResult {
+    /// The request.
+    pub id: RequestId,
+    /// The endpoint that it was sent to.
+    pub endpoint: EndpointId,
+    /// Number of the attempt among those of the request, from 0.
+    pub attempt: usize,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Whether the request has had its final answer.
+    pub request_finished: bool,
+    /// Time since the attempt was sent.
+    pub elapsed: f64,
+    /// Log position that came with the answer; for a write, its commit.
+    pub log_position: Option<f64>,
+    /// Role that came with the answer: true from a primary.
+    pub primary: Option<bool>,
+    /// The load report that came with the answer, if any.
+    pub report: LoadReport,
+}
+
+/// Something that has happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The endpoint list was updated, or could not be.
+    Endpoints {
+        /// What the update contains.
+        kind: UpdateKind,
+        /// Its entries.
+        endpoints: Vec<Endpoint>,
+    },
+    /// A client's request was received.
+    Request(Request),
+    /// An attempt ended.
+    AttemptFinished(AttemptResult),
+    /// A health check ended.
+    HealthChecked {
+        /// The endpoint that was checked.
+        endpoint: EndpointId,
+        /// How the check ended.
+        outcome: Outcome,
+        /// What the endpoint reported.
+        report: LoadReport,
+    },
+    /// A streamed response has begun: the policy has nothing more to decide about the request.
+    ResponseStarted {
+        /// The request.
+        id: RequestId,
+    },
+    /// The client has disconnected.
+    ClientDisconnected {
+        /// Its request.
+        id: RequestId,
+    },
+    /// A timer has expired.
+    Timer {
+        /// The cookie that it was set with.
+        cookie: u64,
+    },
+}
+
+impl Event {
+    /// A plain request, without session, tenant or hints.
+    pub fn request(id: &str, class: usize, group: u32, timeout: f64) -> Event {
+        Event::Request(Request {
+            id: id.into(),
+            class,
+            group,
+            timeout,
+            session_token_age: None,
+            session: None,
+            tenant: 0,
+            predicted_work: None,
+            client_retry: false,
+        })
+    }
+}
--- /dev/null
+++ b/src/interface/mod.rs
@@ -0,0 +1,119 @@
+//! The messages between a [`Policy`](crate::Policy) and the program that hosts it: [`Event`]s go in and
+//! [`Action`]s come out. Types only: no decision is taken here.
+//!
+//! All times are in seconds on one monotonic clock that the host supplies.
+
+mod action;
+mod event;
+
+use std::sync::Arc;
+
+pub use action::{Action, StateChange};
+pub use event::{AttemptResult, Event, Request};
+
+/// Identifies a request; opaque to the policy.
+pub type RequestId = Arc<str>;
+/// Identifies an endpoint, which is one database host; opaque to the policy.
+pub type EndpointId = Arc<str>;
+
+/// The status of an endpoint in the endpoint list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub enum EndpointStatus {
+    /// It takes requests.
+    #[default]
+    Serving,
+    /// It completes the requests that it has and takes no new ones.
+    Draining,
+    /// It is gone.
+    Removed,
+}
+
+/// One entry of the endpoint list.
+#[derive(Clone, Debug, Default)]
+pub struct Endpoint {
+    /// Its identifier.
+    pub id: EndpointId,
+    /// The zone that it is in.
+    pub zone: u32,
+    /// The group that it belongs to: one primary and its replicas.
+    pub group: u32,
+    /// Whether it takes requests.
+    pub status: EndpointStatus,
+    /// When it last started; 0 means long ago.
+    pub started_at: f64,
+    /// Whether the list names it as its group's primary.
+    pub primary: bool,
+}
+
+/// What an update of the endpoint list contains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpdateKind {
+    /// The entries that have changed.
+    Delta,
+    /// The whole list.
+    Snapshot,
+    /// The whole list as it was cached before a restart.
+    Cached,
+    /// Nothing: a call failed or the watch broke, and the list held so far stays in force.
+    WatchFailed,
+}
+
+/// What an endpoint reported about itself some time ago.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoadReport {
+    /// The log position that it had applied.
+    pub log_position: Option<f64>,
+    /// Whether it was the primary.
+    pub primary: Option<bool>,
+}
+
+/// How an attempt or a health check ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was served.
+    Success,
+    /// The endpoint reported an error; the request may have been executed.
+    Error,
+    /// The endpoint rejected it for overload, unexamined.
+    Overloaded,
+    /// No answer came in time; the request may have been executed.
+    Timeout,
+    /// No connection was established; the request was not executed.
+    ConnectFailed,
+    /// The connection broke; the request may have been executed.
+    ConnectionReset,
+    /// The attempt was withdrawn; the request may have been executed.
+    Cancelled,
+    /// The attempt was never sent.
+    NotSent,
+    /// The endpoint rejected it unexecuted, being no primary or too far behind.
+    Ineligible,
+    /// The endpoint rejected it unexecuted for what it says, as any other endpoint would.
+    InvalidRequest,
+}
+
+impl Outcome {
+    /// Whether this outcome proves that the request was not executed.
+    pub fn proves_not_executed(self) -> bool {
+        matches!(
+            self,
+            Outcome::Overloaded
+                | Outcome::ConnectFailed
+                | Outcome::NotSent
+                | Outcome::Ineligible
+                | Outcome::InvalidRequest
+        )
+    }
+
+    /// Whether this outcome is an answer of the endpoint, whatever it says.
+    pub fn is_response(self) -> bool {
+        matches!(
+            self,
+            Outcome::Success
+                | Outcome::Error
+                | Outcome::Overloaded
+                | Outcome::Ineligible
+                | Outcome::InvalidRequest
+        )
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,5 +4,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    dewferry::cli::run()
+    pg_pooler::cli::run()
 }
--- a/src/net/ring.rs
+++ b/src/net/buffer/mod.rs
@@ -16,83 +16,83 @@
 
 /// Why reading stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Fill {
+pub(crate) enum ReadStatus {
     /// The source has nothing more for now.
-    Drained,
+    WouldBlock,
     /// The source has ended.
-    Ended,
+    Completion,
     /// The buffer is at its bound, or all buffers together are at theirs.
     Full,
 }
 
 /// More was pushed than the bound admits.
 #[derive(Debug)]
-pub(crate) struct Overflow;
+pub(crate) struct CapacityExceeded;
 
 /// The memory that all buffers together may take. Guards against many peers that are each within their
 /// bound and together past the limit of the process, which would be killed for it.
 #[derive(Clone)]
-pub(crate) struct Budget(Rc<Cell<usize>>);
+pub(crate) struct MemoryBudget(Rc<Cell<usize>>);
 
-impl Budget {
+impl MemoryBudget {
     pub fn new(bytes: usize) -> Self {
-        Budget(Rc::new(Cell::new(bytes)))
+        MemoryBudget(Rc::new(Cell::new(bytes)))
     }
 
     /// A part of it, of no size yet.
-    pub fn charge(&self) -> Charge {
-        Charge { budget: self.clone(), bytes: 0 }
+    pub fn reservation(&self) -> MemoryReservation {
+        MemoryReservation { budget: self.clone(), bytes: 0 }
     }
 }
 
 /// What one holder has of a budget; given back when dropped.
-pub(crate) struct Charge {
-    budget: Budget,
+pub(crate) struct MemoryReservation {
+    budget: MemoryBudget,
     bytes: usize,
 }
 
-impl Charge {
+impl MemoryReservation {
     /// Makes it so many bytes; unchanged where the budget does not reach.
-    pub fn set(&mut self, bytes: usize) -> Result<(), Overflow> {
-        let Budget(left) = &self.budget;
-        left.set((left.get() + self.bytes).checked_sub(bytes).ok_or(Overflow)?);
+    pub fn resize(&mut self, bytes: usize) -> Result<(), CapacityExceeded> {
+        let MemoryBudget(left) = &self.budget;
+        left.set((left.get() + self.bytes).checked_sub(bytes).ok_or(CapacityExceeded)?);
         self.bytes = bytes;
         Ok(())
     }
 }
 
-impl Drop for Charge {
+impl Drop for MemoryReservation {
     fn drop(&mut self) {
         // Taking less than before always succeeds.
-        let _ = self.set(0);
+        let _ = self.resize(0);
     }
 }
 
-impl fmt::Debug for Charge {
+impl fmt::Debug for MemoryReservation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{} bytes", self.bytes)
     }
 }
 
 /// A queue of bytes that grows up to [`BOUND`], as far as its budget reaches.
-pub(crate) struct Ring {
+pub(crate) struct RingBuffer {
     buffer: Vec<u8>,
     head: usize,
     len: usize,
     /// How many bytes have come in ever.
     received: u64,
-    charge: Charge,
+    reservation: MemoryReservation,
 }
 
-impl Ring {
-    pub fn new(budget: &Budget) -> Self {
-        Ring { buffer: Vec::new(), head: 0, len: 0, received: 0, charge: budget.charge() }
+impl RingBuffer {
+    pub fn new(budget: &MemoryBudget) -> Self {
+        RingBuffer { buffer: Vec::new(), head: 0, len: 0, received: 0, reservation: budget.reservation() }
     }
 
     /// So many bytes more of the same budget, for something that was in this buffer.
-    pub fn charge(&self, bytes: usize) -> Result<Charge, Overflow> {
-        let mut charge = self.charge.budget.charge();
-        charge.set(bytes).map(|()| charge)
+    pub fn reserve_memory(&self, bytes: usize) -> Result<MemoryReservation, CapacityExceeded> {
+        let mut reservation = self.reservation.budget.reservation();
+        reservation.resize(bytes).map(|()| reservation)
     }
 
     pub fn len(&self) -> usize {
@@ -100,12 +100,12 @@
     }
 
     /// How many bytes have been read into it ever.
-    pub fn received(&self) -> u64 {
+    pub fn total_received(&self) -> u64 {
         self.received
     }
 
     /// How many of them have been taken out again.
-    pub fn taken(&self) -> u64 {
+    pub fn total_consumed(&self) -> u64 {
         self.received - self.len as u64
     }
 
@@ -114,14 +114,14 @@
     }
 
     /// Makes room for `more` bytes, if the bound allows.
-    fn reserve(&mut self, more: usize) -> Result<(), Overflow> {
+    fn reserve(&mut self, more: usize) -> Result<(), CapacityExceeded> {
         let need = self.len + more;
         if need > BOUND {
-            return Err(Overflow);
+            return Err(CapacityExceeded);
         }
         if need > self.buffer.len() {
             let size = need.next_power_of_two().clamp(START, BOUND);
-            self.charge.set(size)?;
+            self.reservation.resize(size)?;
             let mut buffer = vec![0; size];
             self.copy(0, &mut buffer[..self.len]);
             (self.buffer, self.head) = (buffer, 0);
@@ -130,23 +130,23 @@
     }
 
     /// Reads until the source would block, has ended, or the bound is reached.
-    pub fn fill(&mut self, source: &mut impl Read) -> io::Result<Fill> {
+    pub fn read_from(&mut self, source: &mut impl Read) -> io::Result<ReadStatus> {
         loop {
             if self.len == self.buffer.len() && self.reserve(1).is_err() {
-                return Ok(Fill::Full);
+                return Ok(ReadStatus::Full);
             }
             let size = self.buffer.len();
             let tail = (self.head + self.len) % size;
             let end = if tail < self.head { self.head } else { size };
             match source.read(&mut self.buffer[tail..end]) {
-                Ok(0) => return Ok(Fill::Ended),
+                Ok(0) => return Ok(ReadStatus::Completion),
                 Ok(count) => {
                     self.len += count;
                     self.received += count as u64;
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     self.release();
-                    return Ok(Fill::Drained);
+                    return Ok(ReadStatus::WouldBlock);
                 }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
@@ -155,7 +155,7 @@
     }
 
     /// Writes until all is gone or the sink would block; true when all is gone.
-    pub fn drain(&mut self, sink: &mut impl Write) -> io::Result<bool> {
+    pub fn write_to(&mut self, sink: &mut impl Write) -> io::Result<bool> {
         while self.len > 0 {
             let end = (self.head + self.len).min(self.buffer.len());
             match sink.write(&self.buffer[self.head..end]) {
@@ -169,7 +169,7 @@
         Ok(true)
     }
 
-    pub fn push(&mut self, bytes: &[u8]) -> Result<(), Overflow> {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), CapacityExceeded> {
         if bytes.is_empty() {
             return Ok(());
         }
@@ -204,7 +204,7 @@
     }
 
     /// A copy of what stands first, `most` bytes at the most, left where it is.
-    pub fn first(&self, most: usize) -> Vec<u8> {
+    pub fn peek_up_to(&self, most: usize) -> Vec<u8> {
         let mut bytes = vec![0; most.min(self.len)];
         self.copy(0, &mut bytes);
         bytes
@@ -212,7 +212,7 @@
 
     /// Takes as many bytes as are there, `count` at the most.
     pub fn take(&mut self, count: usize) -> Vec<u8> {
-        let bytes = self.first(count);
+        let bytes = self.peek_up_to(count);
         self.skip(bytes.len());
         bytes
     }
@@ -228,7 +228,7 @@
         if self.len == 0 && self.buffer.len() > KEEP {
             self.buffer = Vec::new();
             // Taking less than before always succeeds.
-            let _ = self.charge.set(0);
+            let _ = self.reservation.resize(0);
         }
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -5,11 +5,12 @@
 use mio::net::TcpStream;
 use mio::Interest;
 
-use super::event_loop::{Due, Slot, Slots, Source};
-use super::ring::{Budget, Fill, Ring};
-use super::{Context, Event, Listing, News};
+use super::buffer::{MemoryBudget, ReadStatus, RingBuffer};
+use super::reactor::{ConnectionId, ConnectionTable, EventSource, TimerEvent};
+use super::{Context, Event};
 use crate::config::{json, Node, DEEPEST};
-use crate::interface::{ListKind, Phase};
+use crate::endpoint_list::{EndpointList, ListedEndpoint};
+use crate::interface::{EndpointStatus, UpdateKind};
 
 const PATH: &str = "/catalog/members";
 /// What a watch misses counts as told 6 s after it fell silent. So one that says nothing for so long is given up
@@ -40,7 +41,7 @@
 }
 
 /// The watch is of no further use; why, for the log.
-type Broken = &'static str;
+type WatchError = &'static str;
 
 /// Something whole that has come over a watch.
 #[derive(Debug, PartialEq, Eq)]
@@ -61,7 +62,7 @@
 }
 
 impl Decoder {
-    fn take(&mut self, bytes: &[u8], updates: &mut Vec<Update>) -> Result<(), Broken> {
+    fn take(&mut self, bytes: &[u8], updates: &mut Vec<Update>) -> Result<(), WatchError> {
         for byte in bytes {
             if self.depth == 0 && *byte != b'{' {
                 match byte {
@@ -92,8 +93,8 @@
 
 struct Watch {
     stream: TcpStream,
-    inbox: Ring,
-    outbox: Ring,
+    input: RingBuffer,
+    output: RingBuffer,
     part: Part,
     decoder: Decoder,
     /// Whether any news, or word that there is none, has come over it.
@@ -113,32 +114,32 @@
     }
 
     /// Reads and writes as far as it goes; what is whole.
-    fn turn(&mut self, updates: &mut Vec<Update>) -> Result<(), Broken> {
+    fn turn(&mut self, updates: &mut Vec<Update>) -> Result<(), WatchError> {
         if self.stream.peer_addr().is_err() {
             return match self.stream.take_error() {
                 Ok(None) => Ok(()),
                 _ => Err("no connection"),
             };
         }
-        self.outbox.drain(&mut self.stream).map_err(|_| "the connection broke")?;
+        self.output.write_to(&mut self.stream).map_err(|_| "the connection broke")?;
         loop {
-            let fill = self.inbox.fill(&mut self.stream).map_err(|_| "the connection broke")?;
-            let before = self.inbox.len();
+            let fill = self.input.read_from(&mut self.stream).map_err(|_| "the connection broke")?;
+            let before = self.input.len();
             while self.part(updates)? {}
             match fill {
-                Fill::Ended => return Err("the watch ended"),
-                Fill::Drained => return Ok(()),
-                Fill::Full if self.inbox.len() == before => return Err("an answer too long"),
-                Fill::Full => {}
+                ReadStatus::Completion => return Err("the watch ended"),
+                ReadStatus::WouldBlock => return Ok(()),
+                ReadStatus::Full if self.input.len() == before => return Err("an answer too long"),
+                ReadStatus::Full => {}
             }
         }
     }
 
     /// Takes the next part of the answer; false when it is not all there.
-    fn part(&mut self, updates: &mut Vec<Update>) -> Result<bool, Broken> {
+    fn part(&mut self, updates: &mut Vec<Update>) -> Result<bool, WatchError> {
         match self.part {
             Part::Head => {
-                let head = self.inbox.first(LONGEST_HEAD);
+                let head = self.input.peek_up_to(LONGEST_HEAD);
                 let mut fields = [httparse::EMPTY_HEADER; FIELDS];
                 let mut response = httparse::Response::new(&mut fields);
                 match response.parse(&head) {
@@ -157,7 +158,7 @@
                         }
                         // What has no length goes on until the connection ends.
                         self.part = if chunked { Part::Size } else { Part::Chunk(u64::MAX) };
-                        self.inbox.skip(length);
+                        self.input.skip(length);
                         Ok(true)
                     }
                     Ok(httparse::Status::Partial) if head.len() < LONGEST_HEAD => Ok(false),
@@ -165,11 +166,11 @@
                 }
             }
             Part::Size => {
-                let size = self.inbox.first(LONGEST_SIZE);
+                let size = self.input.peek_up_to(LONGEST_SIZE);
                 match httparse::parse_chunk_size(&size) {
                     Ok(httparse::Status::Complete((_, 0))) => Err("the watch ended"),
                     Ok(httparse::Status::Complete((length, size))) => {
-                        self.inbox.skip(length);
+                        self.input.skip(length);
                         self.part = Part::Chunk(size);
                         Ok(true)
                     }
@@ -178,16 +179,16 @@
                 }
             }
             Part::Chunk(left) => {
-                let bytes = self.inbox.take(usize::try_from(left).unwrap_or(usize::MAX));
+                let bytes = self.input.take(usize::try_from(left).unwrap_or(usize::MAX));
                 let left = left - bytes.len() as u64;
                 self.part = if left == 0 { Part::End } else { Part::Chunk(left) };
                 self.decoder.take(&bytes, updates)?;
                 Ok(left == 0)
             }
-            Part::End => match self.inbox.peek() {
+            Part::End => match self.input.peek() {
                 None => Ok(false),
                 Some([b'\r', b'\n']) => {
-                    self.inbox.skip(2);
+                    self.input.skip(2);
                     self.part = Part::Size;
                     Ok(true)
                 }
@@ -200,18 +201,18 @@
 /// The watch on the list, and how far it has come.
 pub(crate) struct Discovery {
     address: SocketAddr,
-    watches: Slots<Watch>,
-    current: Option<Slot>,
-    budget: Budget,
+    watches: ConnectionTable<Watch>,
+    current: Option<ConnectionId>,
+    budget: MemoryBudget,
     index: u64,
     /// What is wrong at present; logged when it changes, not with each call that fails.
-    trouble: Option<Broken>,
+    trouble: Option<WatchError>,
 }
 
 impl Discovery {
     /// Holds the list of that index, and no watch yet.
-    pub fn new(address: SocketAddr, index: u64, budget: Budget) -> Discovery {
-        Discovery { address, watches: Slots::new(), current: None, budget, index, trouble: None }
+    pub fn new(address: SocketAddr, index: u64, budget: MemoryBudget) -> Discovery {
+        Discovery { address, watches: ConnectionTable::new(), current: None, budget, index, trouble: None }
     }
 
     /// Watches the list at another address from now on; the watch that is open there is left as it is.
@@ -231,43 +232,43 @@
         let Ok(stream) = TcpStream::connect(self.address) else {
             return self.failed("no connection", context);
         };
-        let (mut outbox, heard) = (Ring::new(&self.budget), context.reactor.now());
+        let (mut output, heard) = (RingBuffer::new(&self.budget), context.reactor.now());
         let (index, host) = (self.index, self.address);
         let request = format!(
             "GET {PATH}?follow=1&since={index} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
         );
-        let pushed = outbox.push(request.as_bytes());
-        let (inbox, decoder) = (Ring::new(&self.budget), Decoder::default());
+        let pushed = output.push(request.as_bytes());
+        let (input, decoder) = (RingBuffer::new(&self.budget), Decoder::default());
         let watch =
-            Watch { stream, inbox, outbox, part: Part::Head, decoder, told: false, heard, begun: None };
+            Watch { stream, input, output, part: Part::Head, decoder, told: false, heard, begun: None };
         let slot = self.watches.insert(watch);
         self.current = Some(slot);
         let Some(watch) = self.watches.get_mut(slot) else { return };
-        let (token, both) = (Source::Discovery(slot).into(), Interest::READABLE | Interest::WRITABLE);
+        let (token, both) = (EventSource::Discovery(slot).into(), Interest::READABLE | Interest::WRITABLE);
         let registered = context.reactor.registry.register(&mut watch.stream, token, both);
         if pushed.is_err() || registered.is_err() {
             return self.failed("no connection", context);
         }
-        context.reactor.timer(heard + OPENING, Due::Discovery(slot));
+        context.reactor.set_timer(heard + OPENING, TimerEvent::Discovery(slot));
     }
 
-    fn failed(&mut self, why: Broken, context: &mut Context) {
+    fn failed(&mut self, why: WatchError, context: &mut Context) {
         if let Some(slot) = self.current.take() {
             self.watches.remove(slot);
         }
         if self.trouble.replace(why) != Some(why) {
             super::log(format_args!("discovery: {why}"));
         }
-        context.events.push_back(Event::Members(ListKind::Failed, Vec::new()));
+        context.events.push_back(Event::EndpointsUpdated(UpdateKind::WatchFailed, Vec::new()));
     }
 
     /// The watch may be read from or written to.
-    pub fn ready(&mut self, slot: Slot, context: &mut Context) {
+    pub fn ready(&mut self, slot: ConnectionId, context: &mut Context) {
         let Some(watch) = self.watches.get_mut(slot) else { return };
         let now = context.reactor.now();
-        let (received, mut updates) = (watch.inbox.received(), Vec::new());
+        let (received, mut updates) = (watch.input.total_received(), Vec::new());
         let mut result = watch.turn(&mut updates);
-        if watch.part != Part::Head && watch.inbox.received() > received {
+        if watch.part != Part::Head && watch.input.total_received() > received {
             watch.heard = now;
         }
         if watch.decoder.depth == 0 {
@@ -280,20 +281,23 @@
             let Update::List(text) = update else {
                 // Nothing has changed since the list held: that, too, answers the call.
                 if !std::mem::replace(&mut watch.told, true) {
-                    context.events.push_back(Event::Members(ListKind::Incremental, Vec::new()));
+                    context.events.push_back(Event::EndpointsUpdated(UpdateKind::Delta, Vec::new()));
                 }
                 continue;
             };
             let value = std::str::from_utf8(&text).ok().and_then(|text| json(text).ok());
             // A list with an entry that cannot be read is not taken at all: what is left of a whole list
             // would say that the host is gone.
-            let Some(news) = value.and_then(|value| news(Node::new(&value))).filter(|news| news.sound) else {
+            let Some(endpoint_list) = value
+                .and_then(|value| endpoint_list(Node::new(&value)))
+                .filter(|endpoint_list| endpoint_list.complete)
+            else {
                 result = Err("a list that cannot be read");
                 break;
             };
-            (watch.told, self.index) = (true, news.index);
-            let kind = if news.whole { ListKind::Full } else { ListKind::Incremental };
-            context.events.push_back(Event::Members(kind, news.listings));
+            (watch.told, self.index) = (true, endpoint_list.index);
+            let kind = if endpoint_list.snapshot { UpdateKind::Snapshot } else { UpdateKind::Delta };
+            context.events.push_back(Event::EndpointsUpdated(kind, endpoint_list.endpoints));
         }
         if let Err(why) = result {
             self.failed(why, context);
@@ -301,7 +305,7 @@
     }
 
     /// Looks whether the watch has been silent for too long: one that is cut off would stay open for ever.
-    pub fn due(&mut self, slot: Slot, context: &mut Context) {
+    pub fn timer_expired(&mut self, slot: ConnectionId, context: &mut Context) {
         // What has arrived by now still counts, though its event has not been taken up yet.
         self.ready(slot, context);
         let Some(watch) = self.watches.get_mut(slot) else { return };
@@ -309,40 +313,41 @@
         if context.reactor.now() >= until {
             self.failed("silent", context);
         } else {
-            context.reactor.timer(until, Due::Discovery(slot));
+            context.reactor.set_timer(until, TimerEvent::Discovery(slot));
         }
     }
 }
 
 /// Reads one message of the list; none where it is not of the agreed form. A single entry that cannot be
 /// read is left out, and the message is not sound.
-pub(crate) fn news(root: Node) -> Option<News> {
+pub(crate) fn endpoint_list(root: Node) -> Option<EndpointList> {
     let entries = root.at("endpoints").items()?;
-    let listings: Vec<Listing> = entries.iter().filter_map(|entry| listing(Node::new(entry))).collect();
-    Some(News {
+    let endpoints: Vec<ListedEndpoint> =
+        entries.iter().filter_map(|entry| listed(Node::new(entry))).collect();
+    Some(EndpointList {
         index: root.at("index").number()? as u64,
-        whole: root.at("snapshot").flag(),
-        sound: listings.len() == entries.len(),
-        listings,
+        snapshot: root.at("snapshot").flag(),
+        complete: endpoints.len() == entries.len(),
+        endpoints,
     })
 }
 
-fn listing(entry: Node) -> Option<Listing> {
-    let phase = match entry.at("status").text()? {
-        "SERVING" => Phase::Active,
-        "DRAINING" => Phase::Leaving,
-        "DELETED" => Phase::Left,
+fn listed(entry: Node) -> Option<ListedEndpoint> {
+    let status = match entry.at("status").text()? {
+        "SERVING" => EndpointStatus::Serving,
+        "DRAINING" => EndpointStatus::Draining,
+        "DELETED" => EndpointStatus::Removed,
         _ => return None,
     };
     let address = entry.at("address").text().and_then(|address| address.parse().ok());
-    Some(Listing {
+    Some(ListedEndpoint {
         name: entry.at("name").text()?.into(),
         // One that is gone may have no address any more; it must be known to be gone all the same.
-        address: address.or((phase == Phase::Left).then_some(NOWHERE))?,
+        address: address.or((status == EndpointStatus::Removed).then_some(NOWHERE))?,
         zone: entry.at("zone").text()?.to_string(),
         group: entry.at("group").number()? as u32,
-        phase,
-        since: entry.at("since_ms").number().unwrap_or(0.0) / 1000.0,
+        status,
+        started_at: entry.at("since_ms").number().unwrap_or(0.0) / 1000.0,
         primary: entry.at("access").text() == Some("writer"),
     })
 }
--- a/src/net/clients.rs
+++ b/src/net/frontend.rs
@@ -8,10 +8,10 @@
 use mio::net::{TcpListener, TcpStream};
 use mio::Interest;
 
-use super::event_loop::{Due, Slot, Slots, Source};
-use super::pg::{self, code, Asked, CancelKey, FrameError, Message, Startup};
-use super::ring::{Budget, Fill, Overflow, Ring};
-use super::{log, Answer, Context, Event};
+use super::buffer::{CapacityExceeded, MemoryBudget, ReadStatus, RingBuffer};
+use super::postgres::{self, sqlstate, CancelKey, FrameError, Message, ParsedQuery, Startup};
+use super::reactor::{ConnectionId, ConnectionTable, EventSource, TimerEvent};
+use super::{log, Context, Event, Response};
 
 /// Pause before accepting again after the system had no descriptor or memory for a connection (seconds).
 const ACCEPT_AGAIN: f64 = 0.1;
@@ -38,7 +38,7 @@
 
 /// What a connection waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
+enum State {
     Startup,
     /// The next query.
     Idle,
@@ -51,11 +51,11 @@
 }
 
 /// The connection is of no further use.
-struct Over;
+struct Closed;
 
-impl From<Overflow> for Over {
-    fn from(_: Overflow) -> Over {
-        Over
+impl From<CapacityExceeded> for Closed {
+    fn from(_: CapacityExceeded) -> Closed {
+        Closed
     }
 }
 
@@ -68,15 +68,15 @@
     closed: Option<f64>,
 }
 
-struct Conn {
+struct Connection {
     stream: TcpStream,
     /// What a request to cancel its query has to name.
     key: CancelKey,
-    inbox: Ring,
+    input: RingBuffer,
     /// Up to which byte the input had come, and when: what waits behind another query ages meanwhile.
     arrivals: VecDeque<(u64, f64)>,
-    outbox: Ring,
-    stage: Stage,
+    output: RingBuffer,
+    state: State,
     /// After an error in the extended protocol everything up to Sync is passed over.
     skipping: bool,
     /// Whether it has asked anything that could be carried out.
@@ -92,54 +92,58 @@
     owing: Option<f64>,
 }
 
-impl Conn {
+impl Connection {
     /// Reads, understands and writes as far as it goes without waiting.
-    fn turn(&mut self, slot: Slot, service: Service, context: &mut Context) -> Result<(), Over> {
-        let (now, received) = (context.reactor.now(), self.inbox.received());
+    fn turn(&mut self, slot: ConnectionId, service: Service, context: &mut Context) -> Result<(), Closed> {
+        let (now, received) = (context.reactor.now(), self.input.total_received());
         self.more = false;
-        while self.stage != Stage::Ending {
-            let fill = self.inbox.fill(&mut self.stream).map_err(|_| Over)?;
-            if fill == Fill::Ended {
-                return Err(Over);
+        while self.state != State::Ending {
+            let fill = self.input.read_from(&mut self.stream).map_err(|_| Closed)?;
+            if fill == ReadStatus::Completion {
+                return Err(Closed);
             }
             self.stamp(now);
-            if self.inbox.received() > received {
+            if self.input.total_received() > received {
                 self.active = now;
             }
-            let before = self.inbox.len();
+            let before = self.input.len();
             self.understand(slot, service, context)?;
             if self.more {
-                context.reactor.timer(now, Due::Client(slot));
+                context.reactor.set_timer(now, TimerEvent::Client(slot));
                 return Ok(());
             }
             // The event is edge-triggered: what a full buffer left in the socket must be read now that there
             // is room, since nothing will announce it again.
-            if fill == Fill::Drained {
+            if fill == ReadStatus::WouldBlock {
                 return Ok(());
             }
-            if self.inbox.len() == before {
+            if self.input.len() == before {
                 // A message whose rest will never fit must not hold its memory and its client for ever.
-                let stuck = matches!(self.stage, Stage::Startup | Stage::Idle) && self.outbox.is_empty();
-                return if stuck { self.fatal(slot, code::NO_MEMORY, "no memory", context) } else { Ok(()) };
+                let stuck = matches!(self.state, State::Startup | State::Idle) && self.output.is_empty();
+                return if stuck {
+                    self.fatal(slot, sqlstate::OUT_OF_MEMORY, "no memory", context)
+                } else {
+                    Ok(())
+                };
             }
         }
         // What comes is thrown away, a buffer at a turn: guards the loop against a sender that does not stop.
         self.flush()?;
-        match self.inbox.fill(&mut self.stream).map_err(|_| Over)? {
-            Fill::Ended => return Err(Over),
-            Fill::Full if !self.inbox.is_empty() => {
+        match self.input.read_from(&mut self.stream).map_err(|_| Closed)? {
+            ReadStatus::Completion => return Err(Closed),
+            ReadStatus::Full if !self.input.is_empty() => {
                 self.more = true;
-                context.reactor.timer(now, Due::Client(slot));
+                context.reactor.set_timer(now, TimerEvent::Client(slot));
             }
-            Fill::Full | Fill::Drained => {}
+            ReadStatus::Full | ReadStatus::WouldBlock => {}
         }
-        self.inbox.skip(self.inbox.len());
+        self.input.skip(self.input.len());
         Ok(())
     }
 
     /// Notes when what has just been read came in.
     fn stamp(&mut self, now: f64) {
-        let (received, taken) = (self.inbox.received(), self.inbox.taken());
+        let (received, taken) = (self.input.total_received(), self.input.total_consumed());
         while self.arrivals.front().is_some_and(|(upto, _)| *upto <= taken) {
             self.arrivals.pop_front();
         }
@@ -154,7 +158,7 @@
 
     /// When the last byte of the message that has just been taken came in.
     fn arrived(&mut self) -> f64 {
-        let taken = self.inbox.taken();
+        let taken = self.input.total_consumed();
         while self.arrivals.front().is_some_and(|(upto, _)| *upto < taken) {
             self.arrivals.pop_front();
         }
@@ -163,31 +167,36 @@
 
     /// Takes message by message. The next is looked at only when the answers so far are written: a client
     /// that sends and does not read gets no further than its buffers.
-    fn understand(&mut self, slot: Slot, service: Service, context: &mut Context) -> Result<(), Over> {
+    fn understand(
+        &mut self,
+        slot: ConnectionId,
+        service: Service,
+        context: &mut Context,
+    ) -> Result<(), Closed> {
         for _ in 0..TURN {
             if !self.flush()? {
                 return Ok(());
             }
-            let result = match self.stage {
-                Stage::Startup => match pg::startup(&mut self.inbox) {
+            let result = match self.state {
+                State::Startup => match postgres::read_startup(&mut self.input) {
                     Ok(None) => return Ok(()),
                     Ok(Some(first)) => self.startup(first, slot, context).map(Ok)?,
                     Err(fault) => Err(fault),
                 },
-                Stage::Idle => match pg::message(&mut self.inbox) {
+                State::Idle => match postgres::read_client_message(&mut self.input) {
                     Ok(None) => return Ok(()),
                     Ok(Some(message)) => self.message(message, slot, service, context).map(Ok)?,
                     Err(fault) => Err(fault),
                 },
-                Stage::Busy | Stage::Unready | Stage::Ending => return Ok(()),
+                State::Busy | State::Unready | State::Ending => return Ok(()),
             };
             match result {
                 Ok(()) => {}
                 Err(FrameError::Malformed) => {
-                    self.fatal(slot, code::VIOLATION, "malformed message", context)?
+                    self.fatal(slot, sqlstate::PROTOCOL_VIOLATION, "malformed message", context)?
                 }
                 Err(FrameError::TooLong) => {
-                    self.fatal(slot, code::TOO_LARGE, "message too long", context)?;
+                    self.fatal(slot, sqlstate::PROGRAM_LIMIT_EXCEEDED, "message too long", context)?;
                 }
             }
         }
@@ -197,47 +206,49 @@
 
     /// Whoever asks for a query to be cancelled may hang up at once.
     fn last_words(&mut self, context: &mut Context) {
-        if self.stage == Stage::Startup {
-            let _ = self.inbox.fill(&mut self.stream);
-            if let Ok(Some(Startup::Cancel(key))) = pg::startup(&mut self.inbox) {
-                context.events.push_back(Event::Cancel(key));
+        if self.state == State::Startup {
+            let _ = self.input.read_from(&mut self.stream);
+            if let Ok(Some(Startup::Cancel(key))) = postgres::read_startup(&mut self.input) {
+                context.events.push_back(Event::CancelRequested(key));
             }
         }
     }
 
     /// Whether it is between requests, with nothing on its way from here.
     fn rests(&self) -> bool {
-        matches!(self.stage, Stage::Startup | Stage::Idle) && self.inbox.is_empty() && self.outbox.is_empty()
+        matches!(self.state, State::Startup | State::Idle) && self.input.is_empty() && self.output.is_empty()
     }
 
     /// Whether it can be ended: every query that has come in is answered, even if the answer is still to be
     /// written. The beginning of one is none.
     fn owed_nothing(&self) -> bool {
-        let between = !matches!(self.stage, Stage::Busy | Stage::Ending) && !self.more;
-        between && (self.outbox.is_empty() || self.inbox.is_empty())
+        let between = !matches!(self.state, State::Busy | State::Ending) && !self.more;
+        between && (self.output.is_empty() || self.input.is_empty())
     }
 
     /// Whether something is due from the client.
     fn owes(&self) -> bool {
-        match self.stage {
-            Stage::Startup | Stage::Ending => true,
-            Stage::Idle => !self.asked || !self.inbox.is_empty() || !self.outbox.is_empty(),
-            Stage::Busy | Stage::Unready => false,
+        match self.state {
+            State::Startup | State::Ending => true,
+            State::Idle => !self.asked || !self.input.is_empty() || !self.output.is_empty(),
+            State::Busy | State::Unready => false,
         }
     }
 
-    fn startup(&mut self, first: Startup, slot: Slot, context: &mut Context) -> Result<(), Over> {
+    fn startup(&mut self, first: Startup, slot: ConnectionId, context: &mut Context) -> Result<(), Closed> {
         match first {
-            Startup::Encryption => self.outbox.push(b"N")?,
+            Startup::Encryption => self.output.push(b"N")?,
             Startup::Session => {
-                self.outbox.push(&pg::welcome(self.key))?;
-                self.stage = Stage::Idle;
+                self.output.push(&postgres::session_start(self.key))?;
+                self.state = State::Idle;
             }
             Startup::Cancel(key) => {
-                context.events.push_back(Event::Cancel(key));
-                return Err(Over);
+                context.events.push_back(Event::CancelRequested(key));
+                return Err(Closed);
+            }
+            Startup::Unknown => {
+                self.fatal(slot, sqlstate::FEATURE_NOT_SUPPORTED, "unknown protocol", context)?
             }
-            Startup::Unknown => self.fatal(slot, code::UNSUPPORTED, "unknown protocol", context)?,
         }
         Ok(())
     }
@@ -245,87 +256,104 @@
     fn message(
         &mut self,
         message: Message,
-        slot: Slot,
+        slot: ConnectionId,
         service: Service,
         context: &mut Context,
-    ) -> Result<(), Over> {
+    ) -> Result<(), Closed> {
         match message.kind {
-            b'X' => return Err(Over),
+            b'X' => return Err(Closed),
             b'S' => {
                 self.skipping = false;
-                self.outbox.push(&pg::ready())?;
+                self.output.push(&postgres::ready_for_query())?;
             }
             _ if self.skipping => {}
-            b'Q' => match pg::asked(&message.body) {
-                Ok(Asked::Nothing) if service.ready => self.empty()?,
-                Ok(Asked::Nothing) => self.stage = Stage::Unready,
-                Ok(Asked::Query(mut query)) => {
-                    query.arrived = self.arrived();
-                    if service.closed.is_some_and(|since| query.arrived > since) {
+            b'Q' => match postgres::parse_query(&message.body) {
+                Ok(ParsedQuery::Nothing) if service.ready => self.empty()?,
+                Ok(ParsedQuery::Nothing) => self.state = State::Unready,
+                Ok(ParsedQuery::Query(mut query)) => {
+                    query.received_at = self.arrived();
+                    if service.closed.is_some_and(|since| query.received_at > since) {
                         // It would outlive the process: elsewhere it has all its time.
-                        context.counters.refused += 1;
-                        return self.error(code::SHUTTING_DOWN, "shutting down", Some(COME_AGAIN_MS));
+                        context.counters.rejected += 1;
+                        return self.error(
+                            sqlstate::CANNOT_CONNECT_NOW,
+                            "shutting down",
+                            Some(COME_AGAIN_MS),
+                        );
                     }
                     // Guards against many statements that are each within their bound and together are not.
-                    let Ok(charge) = self.inbox.charge(query.statement.len()) else {
-                        context.counters.refused += 1;
-                        return self.error(code::TURNED_AWAY, "no memory", None);
+                    let Ok(memory) = self.input.reserve_memory(query.statement.text.len()) else {
+                        context.counters.rejected += 1;
+                        return self.error(sqlstate::TOO_MANY_CONNECTIONS, "no memory", None);
                     };
-                    query.statement.charge = Some(charge);
-                    (self.stage, self.asked) = (Stage::Busy, true);
-                    context.events.push_back(Event::Asked(slot, query));
+                    query.statement.memory = Some(memory);
+                    (self.state, self.asked) = (State::Busy, true);
+                    context.events.push_back(Event::QueryReceived(slot, query));
                 }
                 Err(what) => {
                     context.counters.malformed += 1;
-                    self.error(code::SYNTAX, what, None)?;
+                    self.error(sqlstate::SYNTAX_ERROR, what, None)?;
                 }
             },
             b'P' | b'B' | b'D' | b'E' | b'C' => {
                 self.skipping = true;
                 let what = "only simple queries are served";
-                self.outbox.push(&pg::error("ERROR", code::UNSUPPORTED, what, None))?;
+                self.output.push(&postgres::error_response(
+                    "ERROR",
+                    sqlstate::FEATURE_NOT_SUPPORTED,
+                    what,
+                    None,
+                ))?;
             }
-            b'F' => self.error(code::UNSUPPORTED, "function calls are not served", None)?,
+            b'F' => self.error(sqlstate::FEATURE_NOT_SUPPORTED, "function calls are not served", None)?,
             // Flush asks for nothing here; the rest belongs to exchanges that are over or were never begun.
             b'H' | b'p' | b'd' | b'c' | b'f' => {}
-            _ => self.fatal(slot, code::VIOLATION, "unknown message", context)?,
+            _ => self.fatal(slot, sqlstate::PROTOCOL_VIOLATION, "unknown message", context)?,
         }
         Ok(())
     }
 
-    fn empty(&mut self) -> Result<(), Over> {
-        (self.stage, self.asked) = (Stage::Idle, true);
-        Ok(self.outbox.push(&[pg::empty_response(), pg::ready()].concat())?)
+    fn empty(&mut self) -> Result<(), Closed> {
+        (self.state, self.asked) = (State::Idle, true);
+        Ok(self.output.push(&[postgres::empty_query_response(), postgres::ready_for_query()].concat())?)
     }
 
-    fn error(&mut self, code: &str, what: &str, detail: Option<&str>) -> Result<(), Over> {
-        Ok(self.outbox.push(&[pg::error("ERROR", code, what, detail), pg::ready()].concat())?)
+    fn error(&mut self, code: &str, what: &str, detail: Option<&str>) -> Result<(), Closed> {
+        Ok(self.output.push(
+            &[postgres::error_response("ERROR", code, what, detail), postgres::ready_for_query()].concat(),
+        )?)
     }
 
     /// Says what is wrong and ends the connection once that is read.
-    fn fatal(&mut self, slot: Slot, code: &str, what: &str, context: &mut Context) -> Result<(), Over> {
+    fn fatal(
+        &mut self,
+        slot: ConnectionId,
+        code: &str,
+        what: &str,
+        context: &mut Context,
+    ) -> Result<(), Closed> {
         context.counters.malformed += 1;
-        self.outbox.push(&pg::error("FATAL", code, what, None))?;
+        self.output.push(&postgres::error_response("FATAL", code, what, None))?;
         self.end(slot, context);
         Ok(())
     }
 
     /// From now on the client is only given the time to read what it was told.
-    fn end(&mut self, slot: Slot, context: &mut Context) {
+    fn end(&mut self, slot: ConnectionId, context: &mut Context) {
         let now = context.reactor.now();
-        (self.stage, self.owing) = (Stage::Ending, Some(now));
-        context.reactor.timer(now + LINGER, Due::Client(slot));
+        (self.state, self.owing) = (State::Ending, Some(now));
+        context.reactor.set_timer(now + LINGER, TimerEvent::Client(slot));
     }
 
     /// Writes what there is to write; true when all is written.
-    fn flush(&mut self) -> Result<bool, Over> {
-        let before = self.outbox.len();
-        let written = self.outbox.drain(&mut self.stream).map_err(|_| Over)?;
-        if !written && self.outbox.len() < before && self.stage != Stage::Ending {
+    fn flush(&mut self) -> Result<bool, Closed> {
+        let before = self.output.len();
+        let written = self.output.write_to(&mut self.stream).map_err(|_| Closed)?;
+        if !written && self.output.len() < before && self.state != State::Ending {
             // Who reads slowly reads all the same: its time starts anew.
             self.owing = None;
         }
-        if written && self.stage == Stage::Ending && !std::mem::replace(&mut self.shut, true) {
+        if written && self.state == State::Ending && !std::mem::replace(&mut self.shut, true) {
             // Once: each time wakes the poll for this connection, which would then turn without pause.
             // Ends the sending only: closing with input unread would reset the connection, and the client
             // might lose the message that says why.
@@ -334,35 +362,37 @@
         Ok(written)
     }
 
-    fn answer(&mut self, answer: Answer) -> Result<(), Over> {
-        self.stage = Stage::Idle;
+    fn answer(&mut self, answer: Response) -> Result<(), Closed> {
+        self.state = State::Idle;
         match answer {
-            Answer::Served(mut value) => {
-                value.extend(pg::ready());
-                if self.outbox.push(&value).is_err() {
+            Response::Value(mut value) => {
+                value.extend(postgres::ready_for_query());
+                if self.output.push(&value).is_err() {
                     // It is owed an answer though there is no memory for the value.
-                    self.error(code::FAILED, "no memory for the value", None)?;
+                    self.error(sqlstate::SYSTEM_ERROR, "no memory for the value", None)?;
                 }
             }
-            Answer::Refused(backoff) => {
-                let millis = Some((backoff * 1000.0).ceil()).filter(|millis| *millis > 0.0);
+            Response::Rejected { retry_after } => {
+                let millis = Some((retry_after * 1000.0).ceil()).filter(|millis| *millis > 0.0);
                 let detail = millis.map(|millis| (millis as u64).to_string());
-                self.error(code::TURNED_AWAY, "refused: try again later", detail.as_deref())?;
+                self.error(sqlstate::TOO_MANY_CONNECTIONS, "refused: try again later", detail.as_deref())?;
             }
-            Answer::Failed => self.error(code::FAILED, "failed: it may have run", None)?,
-            Answer::Cancelled => self.error(code::CANCELLED, "cancelled as its client asked", None)?,
-            Answer::Invalid(what) => self.error(code::BAD_VALUE, what, None)?,
+            Response::Failed => self.error(sqlstate::SYSTEM_ERROR, "failed: it may have run", None)?,
+            Response::Cancelled => {
+                self.error(sqlstate::QUERY_CANCELED, "cancelled as its client asked", None)?
+            }
+            Response::Invalid(what) => self.error(sqlstate::INVALID_PARAMETER_VALUE, what, None)?,
         }
         Ok(())
     }
 }
 
 /// All client connections and the socket that they come in by.
-pub(crate) struct Clients {
+pub(crate) struct Frontend {
     /// Gone once no more are taken in: each connection then ends as soon as nothing is owed on it.
     listener: Option<TcpListener>,
-    conns: Slots<Conn>,
-    budget: Budget,
+    connections: ConnectionTable<Connection>,
+    budget: MemoryBudget,
     /// Most connections at a time.
     limit: usize,
     /// Connections wait in the listener's queue until there is room.
@@ -374,23 +404,24 @@
     rng: fastrand::Rng,
 }
 
-impl Clients {
+impl Frontend {
     pub fn new(
         mut listener: TcpListener,
         limit: usize,
-        budget: Budget,
+        budget: MemoryBudget,
         seed: u64,
         context: &mut Context,
-    ) -> io::Result<Clients> {
-        context.reactor.registry.register(&mut listener, Source::Listener.into(), Interest::READABLE)?;
-        context.reactor.timer(context.reactor.now() + SWEEP, Due::Rested);
-        let (listener, conns, rng) = (Some(listener), Slots::new(), fastrand::Rng::with_seed(seed));
+    ) -> io::Result<Frontend> {
+        context.reactor.registry.register(&mut listener, EventSource::Listener.into(), Interest::READABLE)?;
+        context.reactor.set_timer(context.reactor.now() + SWEEP, TimerEvent::IdleSweep);
+        let (listener, connections, rng) =
+            (Some(listener), ConnectionTable::new(), fastrand::Rng::with_seed(seed));
         let service = Service::default();
-        Ok(Clients { listener, conns, budget, limit, full: false, quiet_until: 0.0, service, rng })
+        Ok(Frontend { listener, connections, budget, limit, full: false, quiet_until: 0.0, service, rng })
     }
 
     pub fn is_empty(&self) -> bool {
-        self.conns.len() == 0
+        self.connections.len() == 0
     }
 
     /// Takes in all that wait.
@@ -400,18 +431,23 @@
             // does so only once a new one is there: one descriptor of the spares is used for that moment.
             let now = context.reactor.now();
             // One that is being ended goes first.
-            let full = self.conns.len() >= self.limit;
-            let ending = || longest(&self.conns, |conn| conn.stage == Stage::Ending);
-            let idlest = if full { ending().or_else(|| longest(&self.conns, Conn::rests)) } else { None };
+            let full = self.connections.len() >= self.limit;
+            let ending = || longest(&self.connections, |connection| connection.state == State::Ending);
+            let idlest =
+                if full { ending().or_else(|| longest(&self.connections, Connection::rests)) } else { None };
             if full && idlest.is_none() {
                 self.full = true;
-                let clients = self.conns.len();
+                let clients = self.connections.len();
                 return self.complain(now, format_args!("{clients} clients, all busy: new connections wait"));
             }
             if let Some(slot) = idlest {
                 // What has come in by now is a request, not a rest.
                 self.ready(slot, context);
-                if self.conns.get_mut(slot).is_none_or(|conn| conn.stage != Stage::Ending && !conn.rests()) {
+                if self
+                    .connections
+                    .get_mut(slot)
+                    .is_none_or(|connection| connection.state != State::Ending && !connection.rests())
+                {
                     continue;
                 }
             }
@@ -419,7 +455,7 @@
             match listener.accept() {
                 Ok((stream, _)) => {
                     if let Some(slot) = idlest {
-                        self.conns.remove(slot);
+                        self.connections.remove(slot);
                     }
                     self.admit(stream, context);
                 }
@@ -429,7 +465,7 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => {
                     // No descriptor or no memory: what waits is taken in when there is some again.
-                    context.reactor.timer(now + ACCEPT_AGAIN, Due::Accept);
+                    context.reactor.set_timer(now + ACCEPT_AGAIN, TimerEvent::RetryAccept);
                     return self.complain(now, format_args!("cannot accept: {error}"));
                 }
             }
@@ -439,23 +475,29 @@
     /// Closes those that have rested for too long, the one that did for longest first.
     pub fn sweep(&mut self, context: &mut Context) {
         let now = context.reactor.now();
-        context.reactor.timer(now + SWEEP, Due::Rested);
+        context.reactor.set_timer(now + SWEEP, TimerEvent::IdleSweep);
         loop {
-            let ending = self.conns.iter().filter(|(_, conn)| conn.stage == Stage::Ending).count();
-            let rest = match self.conns.len() - ending {
+            let ending =
+                self.connections.iter().filter(|(_, connection)| connection.state == State::Ending).count();
+            let rest = match self.connections.len() - ending {
                 places if places > self.limit / 2 => RESTING_CROWDED,
                 places if places > self.limit / 4 => RESTING,
                 _ => return,
             };
             // Those who have not asked yet have their own time limit.
-            let rested = |conn: &Conn| conn.asked && conn.rests() && now >= conn.active + rest;
-            let Some(slot) = longest(&self.conns, rested) else { return };
+            let rested = |connection: &Connection| {
+                connection.asked && connection.rests() && now >= connection.active + rest
+            };
+            let Some(slot) = longest(&self.connections, rested) else { return };
             // What has come in by now is a request, not a rest.
             self.ready(slot, context);
-            let Some(conn) = self.conns.get_mut(slot).filter(|conn| rested(conn)) else { continue };
-            conn.end(slot, context);
-            context.counters.rested += 1;
-            let result = conn.turn(slot, self.service, context);
+            let Some(connection) = self.connections.get_mut(slot).filter(|connection| rested(connection))
+            else {
+                continue;
+            };
+            connection.end(slot, context);
+            context.counters.idle_closed += 1;
+            let result = connection.turn(slot, self.service, context);
             self.settle(slot, result, context);
         }
     }
@@ -470,14 +512,14 @@
     fn admit(&mut self, stream: TcpStream, context: &mut Context) {
         let _ = stream.set_nodelay(true);
         let active = context.reactor.now();
-        let (inbox, outbox) = (Ring::new(&self.budget), Ring::new(&self.budget));
-        let conn = Conn {
+        let (input, output) = (RingBuffer::new(&self.budget), RingBuffer::new(&self.budget));
+        let connection = Connection {
             stream,
             key: CancelKey(self.rng.u32(..), self.rng.u32(..)),
-            inbox,
+            input,
             arrivals: VecDeque::new(),
-            outbox,
-            stage: Stage::Startup,
+            output,
+            state: State::Startup,
             skipping: false,
             asked: false,
             more: false,
@@ -485,46 +527,46 @@
             active,
             owing: None,
         };
-        let slot = self.conns.insert(conn);
-        let Some(conn) = self.conns.get_mut(slot) else { return };
-        let (token, both) = (Source::Client(slot).into(), Interest::READABLE | Interest::WRITABLE);
-        if context.reactor.registry.register(&mut conn.stream, token, both).is_err() {
-            self.conns.remove(slot);
+        let slot = self.connections.insert(connection);
+        let Some(connection) = self.connections.get_mut(slot) else { return };
+        let (token, both) = (EventSource::Client(slot).into(), Interest::READABLE | Interest::WRITABLE);
+        if context.reactor.registry.register(&mut connection.stream, token, both).is_err() {
+            self.connections.remove(slot);
             return;
         }
-        context.counters.clients += 1;
+        context.counters.clients_accepted += 1;
         self.ready(slot, context);
     }
 
     /// A connection may be read from or written to.
-    pub fn ready(&mut self, slot: Slot, context: &mut Context) {
-        let Some(conn) = self.conns.get_mut(slot) else { return };
-        let result = conn.turn(slot, self.service, context);
+    pub fn ready(&mut self, slot: ConnectionId, context: &mut Context) {
+        let Some(connection) = self.connections.get_mut(slot) else { return };
+        let result = connection.turn(slot, self.service, context);
         self.settle(slot, result, context);
     }
 
     /// Ends a connection that is over, or that is between requests while all are to end.
-    fn settle(&mut self, slot: Slot, result: Result<(), Over>, context: &mut Context) {
-        let Some(conn) = self.conns.get_mut(slot) else { return };
-        let busy = conn.stage == Stage::Busy;
+    fn settle(&mut self, slot: ConnectionId, result: Result<(), Closed>, context: &mut Context) {
+        let Some(connection) = self.connections.get_mut(slot) else { return };
+        let busy = connection.state == State::Busy;
         let mut result = result;
-        if self.service.closed.is_some() && result.is_ok() && conn.owed_nothing() {
-            conn.end(slot, context);
-            result = conn.turn(slot, self.service, context);
+        if self.service.closed.is_some() && result.is_ok() && connection.owed_nothing() {
+            connection.end(slot, context);
+            result = connection.turn(slot, self.service, context);
         }
-        if !conn.owes() {
-            conn.owing = None;
-        } else if conn.owing.is_none() {
+        if !connection.owes() {
+            connection.owing = None;
+        } else if connection.owing.is_none() {
             let now = context.reactor.now();
-            conn.owing = Some(now);
-            context.reactor.timer(now + PROMPT, Due::Client(slot));
+            connection.owing = Some(now);
+            context.reactor.set_timer(now + PROMPT, TimerEvent::Client(slot));
         }
         if result.is_err() {
             if busy {
-                context.events.push_back(Event::Gone(slot));
+                context.events.push_back(Event::ClientDisconnected(slot));
             }
-            conn.last_words(context);
-            self.conns.remove(slot);
+            connection.last_words(context);
+            self.connections.remove(slot);
         }
         // Whoever waits at the door was announced once: now that there is room, it must be looked for.
         if self.full && (!busy || result.is_err()) {
@@ -534,27 +576,34 @@
     }
 
     /// The connection whose query is cancelled by one who names its key.
-    pub fn asker(&self, key: CancelKey) -> Option<Slot> {
-        self.conns.iter().find(|(_, conn)| conn.key == key && conn.stage == Stage::Busy).map(|(slot, _)| slot)
+    pub fn asker(&self, key: CancelKey) -> Option<ConnectionId> {
+        self.connections
+            .iter()
+            .find(|(_, connection)| connection.key == key && connection.state == State::Busy)
+            .map(|(slot, _)| slot)
     }
 
     /// The client has closed its connection: it is gone, whatever it sent before that is still unread.
-    pub fn hung_up(&mut self, slot: Slot, context: &mut Context) {
-        self.settle(slot, Err(Over), context);
+    pub fn hung_up(&mut self, slot: ConnectionId, context: &mut Context) {
+        self.settle(slot, Err(Closed), context);
     }
 
     /// Gives the final answer to the query of a connection.
-    pub fn answer(&mut self, slot: Slot, answer: Answer, context: &mut Context) {
-        let Some(conn) = self.conns.get_mut(slot).filter(|conn| conn.stage == Stage::Busy) else { return };
+    pub fn answer(&mut self, slot: ConnectionId, answer: Response, context: &mut Context) {
+        let Some(connection) =
+            self.connections.get_mut(slot).filter(|connection| connection.state == State::Busy)
+        else {
+            return;
+        };
         *match answer {
-            Answer::Served(_) => &mut context.counters.served,
-            Answer::Refused(_) => &mut context.counters.refused,
-            Answer::Failed => &mut context.counters.failed,
-            Answer::Cancelled => &mut context.counters.cancelled,
-            Answer::Invalid(_) => &mut context.counters.malformed,
+            Response::Value(_) => &mut context.counters.served,
+            Response::Rejected { .. } => &mut context.counters.rejected,
+            Response::Failed => &mut context.counters.failed,
+            Response::Cancelled => &mut context.counters.cancel_requests,
+            Response::Invalid(_) => &mut context.counters.malformed,
         } += 1;
-        conn.active = context.reactor.now();
-        let result = conn.answer(answer).and_then(|()| conn.turn(slot, self.service, context));
+        connection.active = context.reactor.now();
+        let result = connection.answer(answer).and_then(|()| connection.turn(slot, self.service, context));
         self.settle(slot, result, context);
     }
 
@@ -563,12 +612,12 @@
         if std::mem::replace(&mut self.service.ready, true) {
             return;
         }
-        let unready = self.conns.iter().filter(|(_, conn)| conn.stage == Stage::Unready);
-        let unready: Vec<Slot> = unready.map(|(slot, _)| slot).collect();
+        let unready = self.connections.iter().filter(|(_, connection)| connection.state == State::Unready);
+        let unready: Vec<ConnectionId> = unready.map(|(slot, _)| slot).collect();
         for slot in unready {
-            let Some(conn) = self.conns.get_mut(slot) else { continue };
-            conn.active = context.reactor.now();
-            let result = conn.empty().and_then(|()| conn.turn(slot, self.service, context));
+            let Some(connection) = self.connections.get_mut(slot) else { continue };
+            connection.active = context.reactor.now();
+            let result = connection.empty().and_then(|()| connection.turn(slot, self.service, context));
             self.settle(slot, result, context);
         }
     }
@@ -579,44 +628,50 @@
         self.accept(context);
         self.listener = None;
         self.service.closed = Some(context.reactor.now());
-        let all: Vec<Slot> = self.conns.iter().map(|(slot, _)| slot).collect();
+        let all: Vec<ConnectionId> = self.connections.iter().map(|(slot, _)| slot).collect();
         for slot in all {
             self.ready(slot, context);
         }
     }
 
     /// A connection has more to read, or what is due from its client may be overdue.
-    pub fn due(&mut self, slot: Slot, context: &mut Context) {
+    pub fn timer_expired(&mut self, slot: ConnectionId, context: &mut Context) {
         let now = context.reactor.now();
-        if self.conns.get_mut(slot).is_some_and(|conn| conn.more) {
+        if self.connections.get_mut(slot).is_some_and(|connection| connection.more) {
             self.ready(slot, context);
         }
-        let Some(conn) = self.conns.get_mut(slot) else { return };
+        let Some(connection) = self.connections.get_mut(slot) else { return };
         // Timers are not withdrawn: this one may belong to what the client has done meanwhile.
-        let patience = if conn.stage == Stage::Ending { LINGER } else { PROMPT };
-        if conn.owing.is_none_or(|since| now < since + patience) {
+        let timeout = if connection.state == State::Ending { LINGER } else { PROMPT };
+        if connection.owing.is_none_or(|since| now < since + timeout) {
             return;
         }
-        context.counters.overdue += u64::from(conn.stage != Stage::Ending);
+        context.counters.client_timeouts += u64::from(connection.state != State::Ending);
         // A message that does not end is answered; one that was never begun is not, since the end of a
         // connection is no answer to a request that crosses it.
-        let unfinished = !conn.inbox.is_empty() && conn.outbox.is_empty() && conn.stage != Stage::Ending;
-        let reads = conn.outbox.is_empty() && conn.stage != Stage::Ending;
+        let unfinished =
+            !connection.input.is_empty() && connection.output.is_empty() && connection.state != State::Ending;
+        let reads = connection.output.is_empty() && connection.state != State::Ending;
         let told = match unfinished {
-            true => conn.fatal(slot, code::VIOLATION, "message not completed in time", context),
+            true => {
+                connection.fatal(slot, sqlstate::PROTOCOL_VIOLATION, "message not completed in time", context)
+            }
             false if reads => {
-                conn.end(slot, context);
+                connection.end(slot, context);
                 Ok(())
             }
-            false => Err(Over),
+            false => Err(Closed),
         };
-        let result = told.and_then(|()| conn.turn(slot, self.service, context));
+        let result = told.and_then(|()| connection.turn(slot, self.service, context));
         self.settle(slot, result, context);
     }
 }
 
 /// Of the connections that will do, the one not heard of for longest.
-fn longest(conns: &Slots<Conn>, will_do: impl Fn(&Conn) -> bool) -> Option<Slot> {
-    let those = conns.iter().filter(|(_, conn)| will_do(conn));
+fn longest(
+    connections: &ConnectionTable<Connection>,
+    will_do: impl Fn(&Connection) -> bool,
+) -> Option<ConnectionId> {
+    let those = connections.iter().filter(|(_, connection)| will_do(connection));
     those.min_by(|(_, a), (_, b)| a.active.total_cmp(&b.active)).map(|(slot, _)| slot)
 }
--- a/src/net/pg.rs
+++ b/src/net/postgres.rs
@@ -3,7 +3,7 @@
 
 use std::ops::Range;
 
-use super::ring::{Ring, BOUND};
+use super::buffer::{RingBuffer, BOUND};
 use super::{Query, Statement};
 
 /// Longest body of a message: its frame must fit a buffer together with it.
@@ -24,19 +24,19 @@
 const CANCEL_REQUEST: u32 = 80_877_102;
 
 /// SQLSTATE codes that are spoken or understood.
-pub(crate) mod code {
-    pub const TURNED_AWAY: &str = "53300";
-    pub const READ_ONLY: &str = "25006";
-    pub const BEHIND: &str = "72000";
-    pub const FAILED: &str = "58000";
-    pub const SYNTAX: &str = "42601";
-    pub const BAD_VALUE: &str = "22023";
-    pub const UNSUPPORTED: &str = "0A000";
-    pub const VIOLATION: &str = "08P01";
-    pub const TOO_LARGE: &str = "54000";
-    pub const NO_MEMORY: &str = "53200";
-    pub const CANCELLED: &str = "57014";
-    pub const SHUTTING_DOWN: &str = "57P03";
+pub(crate) mod sqlstate {
+    pub const TOO_MANY_CONNECTIONS: &str = "53300";
+    pub const READ_ONLY_TRANSACTION: &str = "25006";
+    pub const SNAPSHOT_TOO_OLD: &str = "72000";
+    pub const SYSTEM_ERROR: &str = "58000";
+    pub const SYNTAX_ERROR: &str = "42601";
+    pub const INVALID_PARAMETER_VALUE: &str = "22023";
+    pub const FEATURE_NOT_SUPPORTED: &str = "0A000";
+    pub const PROTOCOL_VIOLATION: &str = "08P01";
+    pub const PROGRAM_LIMIT_EXCEEDED: &str = "54000";
+    pub const OUT_OF_MEMORY: &str = "53200";
+    pub const QUERY_CANCELED: &str = "57014";
+    pub const CANNOT_CONNECT_NOW: &str = "57P03";
 }
 
 /// One message, its type and what follows the length.
@@ -54,34 +54,34 @@
 }
 
 /// Takes the next whole message, if it is there.
-pub(crate) fn message(ring: &mut Ring) -> Result<Option<Message>, FrameError> {
-    let Some((kind, body)) = head(ring)? else { return Ok(None) };
+pub(crate) fn read_client_message(buffer: &mut RingBuffer) -> Result<Option<Message>, FrameError> {
+    let Some((kind, body)) = head(buffer)? else { return Ok(None) };
     if body > LONGEST {
         return Err(FrameError::TooLong);
     }
-    Ok(whole(ring, kind, body))
+    Ok(whole(buffer, kind, body))
 }
 
 /// The type of the next message and the length of its body.
-fn head(ring: &Ring) -> Result<Option<(u8, usize)>, FrameError> {
-    let Some([kind, a, b, c, d]) = ring.peek() else { return Ok(None) };
+fn head(buffer: &RingBuffer) -> Result<Option<(u8, usize)>, FrameError> {
+    let Some([kind, a, b, c, d]) = buffer.peek() else { return Ok(None) };
     let length = u32::from_be_bytes([a, b, c, d]) as usize;
     let body = length.checked_sub(4).ok_or(FrameError::Malformed)?;
     Ok(Some((kind, body)))
 }
 
 /// Takes a message of that head, if all of it is there.
-fn whole(ring: &mut Ring, kind: u8, body: usize) -> Option<Message> {
-    (ring.len() >= body + 5).then(|| {
-        ring.skip(5);
-        Message { kind, body: ring.take(body) }
+fn whole(buffer: &mut RingBuffer, kind: u8, body: usize) -> Option<Message> {
+    (buffer.len() >= body + 5).then(|| {
+        buffer.skip(5);
+        Message { kind, body: buffer.take(body) }
     })
 }
 
 /// Takes the next whole message of a database host, if it is there. One that no database host would send is found
 /// out by its head, so far as that shows it: nobody waits for the rest of what will never be whole.
-pub(crate) fn reply(ring: &mut Ring) -> Result<Option<Message>, FrameError> {
-    let first = ring.first(1);
+pub(crate) fn read_server_message(buffer: &mut RingBuffer) -> Result<Option<Message>, FrameError> {
+    let first = buffer.peek_up_to(1);
     let longest = match first.first() {
         None => return Ok(None),
         Some(b'D') => LONGEST_VALUE + 6,
@@ -91,19 +91,19 @@
         Some(b'Z') => 1,
         Some(_) => return Err(FrameError::Malformed),
     };
-    let Some((kind, body)) = head(ring)? else { return Ok(None) };
+    let Some((kind, body)) = head(buffer)? else { return Ok(None) };
     if body > longest {
         return Err(FrameError::TooLong);
     }
-    if let (b'D', Some(row)) = (kind, ring.peek::<11>()) {
+    if let (b'D', Some(row)) = (kind, buffer.peek::<11>()) {
         column_length(&row[5..], body)?;
     }
-    let Some(message) = whole(ring, kind, body) else { return Ok(None) };
+    let Some(message) = whole(buffer, kind, body) else { return Ok(None) };
     let sound = match kind {
         b'T' => described(&message.body),
-        b'D' => column(&message.body).is_some(),
+        b'D' => single_column(&message.body).is_some(),
         b'C' => terminated(&message.body).is_some_and(|tag| tag.bytes().all(|b| (b' '..=b'~').contains(&b))),
-        b'S' => parameter(&message.body).is_some(),
+        b'S' => parse_parameter_status(&message.body).is_some(),
         b'Z' => message.body == [b'I'],
         _ => true,
     };
@@ -128,8 +128,8 @@
 }
 
 /// Takes a message without type, as clients send it first.
-pub(crate) fn startup(ring: &mut Ring) -> Result<Option<Startup>, FrameError> {
-    let Some([a, b, c, d]) = ring.peek() else { return Ok(None) };
+pub(crate) fn read_startup(buffer: &mut RingBuffer) -> Result<Option<Startup>, FrameError> {
+    let Some([a, b, c, d]) = buffer.peek() else { return Ok(None) };
     let length = u32::from_be_bytes([a, b, c, d]) as usize;
     if length < 8 {
         return Err(FrameError::Malformed);
@@ -137,10 +137,10 @@
     if length > LONGEST_STARTUP {
         return Err(FrameError::TooLong);
     }
-    if ring.len() < length {
+    if buffer.len() < length {
         return Ok(None);
     }
-    let body = ring.take(length);
+    let body = buffer.take(length);
     let word =
         |n: usize| body.get(4 * n..).and_then(|rest| rest.first_chunk()).map(|b| u32::from_be_bytes(*b));
     Ok(Some(match word(1).unwrap_or_default() {
@@ -170,7 +170,7 @@
 }
 
 /// The first message to a database host.
-pub(crate) fn hello(user: &str, database: &str) -> Vec<u8> {
+pub(crate) fn startup_message(user: &str, database: &str) -> Vec<u8> {
     let mut out = vec![0; 4];
     out.extend(PROTOCOL.to_be_bytes());
     for word in ["user", user, "database", database] {
@@ -183,7 +183,7 @@
 }
 
 /// The answer to a client's startup message, up to and with ReadyForQuery.
-pub(crate) fn welcome(CancelKey(process, secret): CancelKey) -> Vec<u8> {
+pub(crate) fn session_start(CancelKey(process, secret): CancelKey) -> Vec<u8> {
     let mut out = Vec::new();
     frame(&mut out, b'R', |out| out.extend([0; 4]));
     for (name, value) in [
@@ -200,19 +200,19 @@
         });
     }
     frame(&mut out, b'K', |out| out.extend([process.to_be_bytes(), secret.to_be_bytes()].concat()));
-    out.extend(ready());
+    out.extend(ready_for_query());
     out
 }
 
-pub(crate) fn ready() -> Vec<u8> {
+pub(crate) fn ready_for_query() -> Vec<u8> {
     vec![b'Z', 0, 0, 0, 5, b'I']
 }
 
-pub(crate) fn empty_response() -> Vec<u8> {
+pub(crate) fn empty_query_response() -> Vec<u8> {
     vec![b'I', 0, 0, 0, 4]
 }
 
-pub(crate) fn query(sql: &[u8]) -> Vec<u8> {
+pub(crate) fn query_message(sql: &[u8]) -> Vec<u8> {
     let mut out = Vec::with_capacity(sql.len() + 6);
     frame(&mut out, b'Q', |out| {
         out.extend(sql);
@@ -222,7 +222,7 @@
 }
 
 /// An ErrorResponse; `detail` goes into the field D.
-pub(crate) fn error(severity: &str, code: &str, what: &str, detail: Option<&str>) -> Vec<u8> {
+pub(crate) fn error_response(severity: &str, code: &str, what: &str, detail: Option<&str>) -> Vec<u8> {
     let mut out = Vec::new();
     frame(&mut out, b'E', |out| {
         for (field, value) in [(b'S', severity), (b'V', severity), (b'C', code), (b'M', what)] {
@@ -239,7 +239,7 @@
 }
 
 /// Appends a message as it came.
-pub(crate) fn forward(out: &mut Vec<u8>, message: &Message) {
+pub(crate) fn append_message(out: &mut Vec<u8>, message: &Message) {
     frame(out, message.kind, |out| out.extend(&message.body));
 }
 
@@ -251,7 +251,7 @@
 }
 
 /// The code and the severity of an ErrorResponse.
-pub(crate) fn error_code(body: &[u8]) -> (String, bool) {
+pub(crate) fn parse_error_response(body: &[u8]) -> (String, bool) {
     let (mut code, mut fatal) = (String::new(), false);
     for field in body.split(|byte| *byte == 0).filter(|field| !field.is_empty()) {
         let value = String::from_utf8_lossy(&field[1..]);
@@ -266,12 +266,12 @@
 
 /// Whether a code lays the fault on the statement, so that it would be turned away by any machine: a feature that
 /// is not there, bad data, a broken constraint, bad syntax or a name that is not known.
-pub(crate) fn blames_statement(code: &str) -> bool {
-    matches!(code.get(..2), Some("0A" | "22" | "23" | "42")) || code == code::VIOLATION
+pub(crate) fn is_statement_error(code: &str) -> bool {
+    matches!(code.get(..2), Some("0A" | "22" | "23" | "42")) || code == sqlstate::PROTOCOL_VIOLATION
 }
 
 /// Name and value of a ParameterStatus.
-pub(crate) fn parameter(body: &[u8]) -> Option<(&str, &str)> {
+pub(crate) fn parse_parameter_status(body: &[u8]) -> Option<(&str, &str)> {
     std::str::from_utf8(body)
         .ok()?
         .strip_suffix('\0')?
@@ -286,7 +286,7 @@
 }
 
 /// The only column of a DataRow; none where its length is not that of the message.
-pub(crate) fn column(body: &[u8]) -> Option<&[u8]> {
+pub(crate) fn single_column(body: &[u8]) -> Option<&[u8]> {
     column_length(body, body.len()).ok()?;
     body.get(6..)
 }
@@ -301,16 +301,16 @@
 
 /// A query message of a client.
 #[derive(Debug)]
-pub(crate) enum Asked {
+pub(crate) enum ParsedQuery {
     Nothing,
     Query(Box<Query>),
 }
 
 /// Reads the body of a query message; what is wrong with it where it is not of the agreed form.
-pub(crate) fn asked(body: &[u8]) -> Result<Asked, &'static str> {
+pub(crate) fn parse_query(body: &[u8]) -> Result<ParsedQuery, &'static str> {
     let sql = terminated(body).ok_or("a query must be UTF-8 and end with its only zero")?;
     if sql.trim_matches([' ', '\t', '\r', '\n', ';']).is_empty() {
-        return Ok(Asked::Nothing);
+        return Ok(ParsedQuery::Nothing);
     }
     let start = sql.find("/*").filter(|at| sql[..*at].trim().is_empty()).ok_or("no leading comment")?;
     let end = sql.find("*/").filter(|at| *at >= start + 2).ok_or("the comment does not end")?;
@@ -318,8 +318,8 @@
     if rest.trim_matches([' ', '\t', '\r', '\n', ';']).is_empty() {
         return Err("no statement behind the comment");
     }
-    let (mut id, mut class, mut tenant, mut group, mut patience) = (None, None, None, None, None);
-    let (mut keyed, mut repeat, mut after) = (None, None, None);
+    let (mut id, mut class, mut tenant, mut group, mut timeout) = (None, None, None, None, None);
+    let (mut has_idempotency_key, mut repeat, mut after) = (None, None, None);
     let mut at = start + 2;
     for pair in sql[start + 2..end].split(',') {
         let (name, value) = pair.split_once('=').ok_or("the comment is not made of names and values")?;
@@ -333,8 +333,8 @@
             "c" => &mut class,
             "t" => &mut tenant,
             "cluster" => &mut group,
-            "d" => &mut patience,
-            "k" => &mut keyed,
+            "d" => &mut timeout,
+            "k" => &mut has_idempotency_key,
             "r" => &mut repeat,
             "after" => &mut after,
             _ => continue,
@@ -344,26 +344,26 @@
         }
     }
     let need = |value: Option<(&str, Range<usize>)>| value.map(|(value, _)| value.to_string());
-    let (patience, place) = patience.ok_or("no d in the comment")?;
+    let (timeout, place) = timeout.ok_or("no d in the comment")?;
     let whole = |text: &str| {
         let digits = text.len() <= MOST_DIGITS && text.bytes().all(|b| b.is_ascii_digit());
         text.parse::<u64>().ok().filter(|_| digits)
     };
-    let millis = whole(patience).filter(|d| *d > 0);
+    let millis = whole(timeout).filter(|d| *d > 0);
     let after =
         after.map(|(after, _)| whole(after).ok_or("after is not a time in milliseconds")).transpose()?;
     let group = group.and_then(|(group, _)| group.parse().ok()).ok_or("no group number in the comment")?;
-    Ok(Asked::Query(Box::new(Query {
+    Ok(ParsedQuery::Query(Box::new(Query {
         id: need(id).ok_or("no id in the comment")?,
         class: need(class).ok_or("no class in the comment")?,
         tenant: need(tenant).unwrap_or_default(),
         group,
-        patience: millis.ok_or("d is not a number of milliseconds above 0")? as f64 / 1000.0,
-        arrived: 0.0,
-        after: after.filter(|after| *after > 0).map(|after| after as f64 / 1000.0),
-        keyed: keyed.is_some(),
-        repeat: repeat.is_some_and(|(value, _)| value == "1"),
-        key: rest.split('\'').nth(1).filter(|_| rest.matches('\'').count() >= 2).map(String::from),
-        statement: Statement { text: sql.into(), patience: place, charge: None },
+        timeout: millis.ok_or("d is not a number of milliseconds above 0")? as f64 / 1000.0,
+        received_at: 0.0,
+        session_token: after.filter(|after| *after > 0).map(|after| after as f64 / 1000.0),
+        has_idempotency_key: has_idempotency_key.is_some(),
+        client_retry: repeat.is_some_and(|(value, _)| value == "1"),
+        session: rest.split('\'').nth(1).filter(|_| rest.matches('\'').count() >= 2).map(String::from),
+        statement: Statement { text: sql.into(), timeout: place, memory: None },
     })))
 }
--- a/src/net/event_loop.rs
+++ b/src/net/reactor/mod.rs
@@ -13,48 +13,48 @@
 /// Events fetched in one go.
 const BATCH: usize = 256;
 
-/// A place in [`Slots`] together with its tenant's number: a late event for an earlier tenant finds nobody.
+/// A place in [`ConnectionTable`] together with its tenant's number: a late event for an earlier tenant finds nobody.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct Slot {
+pub(crate) struct ConnectionId {
     index: u32,
     generation: u32,
 }
 
 /// Connections by slot. Places are used again, numbers only after 2^29 others.
-pub(crate) struct Slots<T> {
+pub(crate) struct ConnectionTable<T> {
     slab: Slab<(u32, T)>,
     next: u32,
 }
 
-impl<T> Slots<T> {
+impl<T> ConnectionTable<T> {
     pub fn new() -> Self {
-        Slots { slab: Slab::new(), next: 0 }
+        ConnectionTable { slab: Slab::new(), next: 0 }
     }
 
     pub fn len(&self) -> usize {
         self.slab.len()
     }
 
-    pub fn insert(&mut self, item: T) -> Slot {
+    pub fn insert(&mut self, item: T) -> ConnectionId {
         let generation = self.next;
         self.next = (self.next + 1) & GENERATIONS;
-        Slot { index: self.slab.insert((generation, item)) as u32, generation }
+        ConnectionId { index: self.slab.insert((generation, item)) as u32, generation }
     }
 
-    pub fn get_mut(&mut self, slot: Slot) -> Option<&mut T> {
+    pub fn get_mut(&mut self, slot: ConnectionId) -> Option<&mut T> {
         let (generation, item) = self.slab.get_mut(slot.index as usize)?;
         (*generation == slot.generation).then_some(item)
     }
 
-    pub fn remove(&mut self, slot: Slot) -> Option<T> {
+    pub fn remove(&mut self, slot: ConnectionId) -> Option<T> {
         self.get_mut(slot)?;
         self.slab.try_remove(slot.index as usize).map(|(_, item)| item)
     }
 
-    pub fn iter(&self) -> impl Iterator<Item = (Slot, &T)> {
-        self.slab
-            .iter()
-            .map(|(index, (generation, item))| (Slot { index: index as u32, generation: *generation }, item))
+    pub fn iter(&self) -> impl Iterator<Item = (ConnectionId, &T)> {
+        self.slab.iter().map(|(index, (generation, item))| {
+            (ConnectionId { index: index as u32, generation: *generation }, item)
+        })
     }
 }
 
@@ -63,61 +63,61 @@
 
 /// What an event of the poll belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Source {
+pub(crate) enum EventSource {
     Listener,
     Signals,
-    Client(Slot),
-    Server(Slot),
-    Discovery(Slot),
+    Client(ConnectionId),
+    Server(ConnectionId),
+    Discovery(ConnectionId),
 }
 
 // A token holds the kind, the generation and the index side by side.
 const _: () = assert!(usize::BITS == 64);
 
-impl From<Source> for Token {
-    fn from(source: Source) -> Token {
+impl From<EventSource> for Token {
+    fn from(source: EventSource) -> Token {
         let (kind, slot) = match source {
-            Source::Listener => (0, None),
-            Source::Signals => (1, None),
-            Source::Client(slot) => (2, Some(slot)),
-            Source::Server(slot) => (3, Some(slot)),
-            Source::Discovery(slot) => (4, Some(slot)),
+            EventSource::Listener => (0, None),
+            EventSource::Signals => (1, None),
+            EventSource::Client(slot) => (2, Some(slot)),
+            EventSource::Server(slot) => (3, Some(slot)),
+            EventSource::Discovery(slot) => (4, Some(slot)),
         };
-        let Slot { index, generation } = slot.unwrap_or(Slot { index: 0, generation: 0 });
+        let ConnectionId { index, generation } = slot.unwrap_or(ConnectionId { index: 0, generation: 0 });
         Token(kind << 61 | (generation as usize) << 32 | index as usize)
     }
 }
 
-impl From<Token> for Source {
-    fn from(Token(token): Token) -> Source {
-        let slot = Slot { index: token as u32, generation: (token >> 32) as u32 & GENERATIONS };
+impl From<Token> for EventSource {
+    fn from(Token(token): Token) -> EventSource {
+        let slot = ConnectionId { index: token as u32, generation: (token >> 32) as u32 & GENERATIONS };
         match token >> 61 {
-            0 => Source::Listener,
-            1 => Source::Signals,
-            2 => Source::Client(slot),
-            3 => Source::Server(slot),
-            _ => Source::Discovery(slot),
+            0 => EventSource::Listener,
+            1 => EventSource::Signals,
+            2 => EventSource::Client(slot),
+            3 => EventSource::Server(slot),
+            _ => EventSource::Discovery(slot),
         }
     }
 }
 
 /// What a timer belongs to. Timers are not withdrawn: whoever is told looks whether it still matters.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Due {
+pub(crate) enum TimerEvent {
     Policy(u64),
-    Accept,
-    Rested,
-    Client(Slot),
-    Server(Slot),
-    Discovery(Slot),
-    Drained,
+    RetryAccept,
+    IdleSweep,
+    Client(ConnectionId),
+    Server(ConnectionId),
+    Discovery(ConnectionId),
+    GracePeriodOver,
 }
 
 struct Timer {
     at: f64,
     /// Keeps timers of the same time in the order in which they were set.
     number: u64,
-    due: Due,
+    due: TimerEvent,
 }
 
 impl Ord for Timer {
@@ -161,20 +161,20 @@
         self.epoch + self.start.elapsed().as_secs_f64()
     }
 
-    pub fn timer(&mut self, at: f64, due: Due) {
+    pub fn set_timer(&mut self, at: f64, due: TimerEvent) {
         self.timers_set += 1;
         self.timers.push(Reverse(Timer { at, number: self.timers_set, due }));
     }
 
     /// How long until the next timer.
-    fn patience(&self) -> Option<Duration> {
+    fn timeout(&self) -> Option<Duration> {
         let Reverse(next) = self.timers.peek()?;
         Some(Duration::try_from_secs_f64(next.at - self.now()).unwrap_or(Duration::ZERO))
     }
 
     /// What came due by `now`. A timer that is set meanwhile waits for the next round, so that sockets are
     /// looked at in between.
-    fn due(&mut self, now: f64) -> Option<Due> {
+    fn timer_expired(&mut self, now: f64) -> Option<TimerEvent> {
         if self.timers.peek().is_none_or(|Reverse(next)| next.at > now) {
             return None;
         }
@@ -186,9 +186,9 @@
 pub(crate) trait Handler {
     /// A source may be read from or written to; whether its peer has closed it, which shows also while what
     /// came before that is left unread.
-    fn ready(&mut self, source: Source, hung_up: bool, context: &mut Context);
+    fn ready(&mut self, source: EventSource, hung_up: bool, context: &mut Context);
     /// A timer came due.
-    fn due(&mut self, due: Due, context: &mut Context);
+    fn timer_expired(&mut self, due: TimerEvent, context: &mut Context);
     /// Whether there is nothing left to wait for.
     fn finished(&self) -> bool;
 }
@@ -197,7 +197,7 @@
 pub(crate) fn run(poll: &mut Poll, handler: &mut impl Handler, context: &mut Context) -> io::Result<()> {
     let mut events = Events::with_capacity(BATCH);
     while !handler.finished() {
-        match poll.poll(&mut events, context.reactor.patience()) {
+        match poll.poll(&mut events, context.reactor.timeout()) {
             Err(error) if error.kind() == ErrorKind::Interrupted => continue,
             result => result?,
         }
@@ -205,8 +205,8 @@
             handler.ready(event.token().into(), event.is_read_closed(), context);
         }
         let now = context.reactor.now();
-        while let Some(due) = context.reactor.due(now) {
-            handler.due(due, context);
+        while let Some(due) = context.reactor.timer_expired(now) {
+            handler.timer_expired(due, context);
         }
     }
     Ok(())
--- a/src/net/event_loop/tests.rs
+++ b/src/net/reactor/tests.rs
@@ -2,9 +2,9 @@
 
 #[test]
 fn a_late_event_finds_nobody_in_a_place_that_was_used_again() {
-    let mut slots = Slots::new();
+    let mut slots = ConnectionTable::new();
     let old = slots.insert("old");
-    assert_eq!(Source::from(Token::from(Source::Server(old))), Source::Server(old));
+    assert_eq!(EventSource::from(Token::from(EventSource::Server(old))), EventSource::Server(old));
     slots.remove(old);
     let new = slots.insert("new");
     assert_eq!(new.index, old.index);
--- /dev/null
+++ b/src/policy/attempts.rs
@@ -0,0 +1,117 @@
+//! The way of a request: its receipt, its attempts, idempotency, and its end.
+
+use super::primary_search::HEALTH_CHECKS_PER_REQUEST;
+use super::{NoRoute, Policy, Route, SAMPLE_WEIGHT};
+use crate::interface::{Action, Request};
+use crate::state::{Attempt, EndpointKey, PendingRequest, RequestKey};
+
+/// Retries allowed for each request: a tenth cannot amplify an overload.
+const RETRIES_PER_REQUEST: f64 = 0.1;
+/// Saved-up retries at most: enough for the requests that one lost endpoint had in flight.
+pub(super) const MAX_RETRIES: f64 = 20.0;
+/// Share of its time that a request may wait unsent: its client then has as much time to retry elsewhere.
+const QUEUE_TIME_SHARE: f64 = 0.5;
+/// Weight of a new sample in the share of reads, which changes slowly: about fifty requests.
+const READ_SHARE_WEIGHT: f64 = 0.02;
+
+impl Policy {
+    pub(super) fn request_received(&mut self, request: Request) {
+        if request.class >= self.settings.classes.len() {
+            return self.actions.push(Action::Reject { id: request.id, retry_after: 0.0 });
+        }
+        let (now, tick) = (self.now, self.settings.tick);
+        let class = self.class(request.class);
+        // Nobody waits longer than a class's clients do, whatever the request says.
+        let left = request.timeout.clamp(0.0, class.deadline);
+        let stretch = class.latency_objective_factor * request.predicted_work.unwrap_or(0.0);
+        let objective = (class.latency_objective + stretch).min(left);
+        let queue_until = now + (left * QUEUE_TIME_SHARE - tick).max(0.0);
+        let is_read = f64::from(u8::from(!class.needs_primary()));
+        let session_token = self.session_token(&request);
+        self.read_share += READ_SHARE_WEIGHT * (is_read - self.read_share);
+        self.retry_budget.deposit(RETRIES_PER_REQUEST);
+        self.health_check_budget.deposit(HEALTH_CHECKS_PER_REQUEST);
+        let quota = self.tenant_quotas.get_mut(request.tenant);
+        let over_quota = quota.is_some_and(|quota| !quota.refill(now).withdraw());
+        self.endpoints.request_received(request.group, now);
+        let key = self.requests.insert(PendingRequest {
+            objective_at: now + objective,
+            deadline: now + left,
+            queue_until,
+            session_token,
+            over_quota,
+            sampling_draw: self.rng.f64(),
+            ..PendingRequest::new(request)
+        });
+        self.actions.push(Action::SetTimer { at: queue_until, cookie: key });
+        // Every request has a timer that ends it just inside its deadline, whatever else happens.
+        self.actions.push(Action::SetTimer { at: (now + left - tick).max(now), cookie: key });
+        self.dispatch(key);
+    }
+
+    /// Comes at the end of the time to wait in the queue, and again just inside the deadline.
+    pub(super) fn request_timer_expired(&mut self, key: RequestKey) {
+        let Some(request) = self.requests.unfinished_mut(key) else { return };
+        if request.untried() || self.now + 2.0 * self.settings.tick >= request.deadline {
+            self.reject_or_fail(key);
+        }
+    }
+
+    /// Takes the next step of a request that has no attempt in flight.
+    pub(super) fn dispatch(&mut self, key: RequestKey) {
+        let Some(request) = self.requests.get(key).filter(|request| !request.in_flight()) else { return };
+        let worthless_at = request.worthless_at(self.class(request.class).late_weight > 0.0);
+        if !self.may_attempt(request) || self.now >= worthless_at {
+            return self.reject_or_fail(key);
+        }
+        let has_waited = self.now >= request.queue_until && request.untried();
+        match self.route(key) {
+            Ok(endpoint) => self.send(key, endpoint),
+            Err(NoRoute::Queue) if has_waited => self.reject_or_fail(key),
+            Err(NoRoute::Queue) => self.endpoints.queue(key, &mut self.requests),
+            Err(NoRoute::Reject) => self.shed(key),
+        }
+    }
+
+    /// Whether a request may have one more attempt. One that may have been executed, or is in flight, is only
+    /// repeated while its class allows that, counted from the first such attempt, less the time to connect.
+    pub(super) fn may_attempt(&self, request: &PendingRequest) -> bool {
+        let class = self.class(request.class);
+        let may_overlap = self.settings.hedging || !request.in_flight();
+        let is_in_time = |sent_at| self.now < class.repeatable_until(sent_at) - self.settings.connect_timeout;
+        let may_repeat = request.may_have_run_since().is_none_or(is_in_time);
+        may_overlap && may_repeat && (request.attempts.len() as u32) < self.settings.max_attempts
+    }
+
+    pub(super) fn route(&mut self, key: RequestKey) -> Route {
+        let request = self.requests.get(key).ok_or(NoRoute::Reject)?;
+        if !self.class(request.class).needs_primary() {
+            return self.route_read(key);
+        }
+        let group = self.endpoints.groups.get(&request.group).filter(|group| !group.endpoints.is_empty());
+        let primary = group.ok_or(NoRoute::Reject)?.primary.ok_or(NoRoute::Queue)?;
+        if self.trial_due(primary) {
+            return Ok(primary);
+        }
+        let share = self.primary_slow_start_share();
+        if !self.is_healthy(primary) || !self.slow_start_admits(request, primary, share) {
+            return Err(NoRoute::Queue);
+        }
+        self.admit(request, primary, 1.0)
+    }
+
+    /// Starts an attempt, if the request may have one there: no path goes round this.
+    pub(super) fn send(&mut self, key: RequestKey, to: EndpointKey) {
+        let endpoint = &self.endpoints[to];
+        let is_allowed = |r: &&PendingRequest| r.group == endpoint.group && self.may_attempt(r);
+        let Some(request) = self.requests.get(key).filter(is_allowed) else { return };
+        // A retry may not wait in an endpoint's queue until after the deduplication window.
+        let class = self.class(request.class);
+        let first_sent_at = request.may_have_run_since();
+        let window_end = first_sent_at.map_or(f64::INFINITY, |sent_at| class.repeatable_until(sent_at));
+        let timeout = (request.deadline.min(window_end) - self.now).max(self.settings.tick);
+        self.actions.push(Action::Send { id: request.id.clone(), endpoint: endpoint.id.clone(), timeout });
+        self.endpoints[to].attempt_sent(self.now, SAMPLE_WEIGHT);
+        self.requests.add_attempt(key, Attempt::new(to, self.now));
+    }
+}
--- /dev/null
+++ b/src/policy/endpoints.rs
@@ -0,0 +1,58 @@
+//! The endpoint list: its watch, its updates, and which endpoints may be used.
+
+use super::Policy;
+use crate::interface::{Action, Endpoint, EndpointStatus, StateChange, UpdateKind};
+use crate::state::EndpointKey;
+
+/// Longest mean backoff between calls (seconds): updates count as notified 6 s after discovery is back.
+const MAX_WATCH_BACKOFF: f64 = 0.8;
+/// A call that stays without any answer is repeated after this (seconds), which leaves time for an answer.
+const WATCH_CALL_TIMEOUT: f64 = 4.0;
+const MAX_COUNTED_FAILURES: i32 = 8;
+/// A removed endpoint is forgotten after this multiple of the watch gap, far past every deadline.
+pub(super) const FORGET_AFTER: f64 = 3.0;
+
+impl Policy {
+    pub(super) fn reopen_watch(&mut self) {
+        if self.settings.watch_endpoints && !self.watch.is_open && self.now >= self.watch.retry_at {
+            self.watch.retry_at = self.now + WATCH_CALL_TIMEOUT;
+            self.actions.push(Action::Watch);
+        }
+    }
+
+    /// The list held so far stays in force; the watch is opened again after a growing, jittered backoff.
+    fn watch_failed(&mut self) {
+        let failures = self.watch.failed(MAX_COUNTED_FAILURES);
+        if failures == 1 {
+            self.actions.push(Action::Log(StateChange::WatchLost));
+        }
+        let backoff = self.settings.max_watch_gap / 64.0 * f64::from(1 << failures);
+        self.watch.retry_at = self.now + backoff.min(MAX_WATCH_BACKOFF) * (0.5 + 0.75 * self.rng.f64());
+    }
+
+    pub(super) fn endpoints_updated(&mut self, kind: UpdateKind, entries: &[Endpoint]) {
+        if kind == UpdateKind::WatchFailed {
+            return self.watch_failed();
+        }
+        if kind == UpdateKind::Cached {
+            // A pooler that has just started remembers no writes: any session may have written until now.
+            self.sessions.assume_writes_until(self.now);
+        } else if self.watch.succeeded() {
+            self.actions.push(Action::Log(StateChange::WatchRestored));
+        }
+        self.endpoints.apply(kind, entries, self.now);
+        for group in self.endpoints.group_ids() {
+            self.elect_primary(group);
+        }
+    }
+
+    /// Whether anything new may go to an endpoint at all. A drain binds from its notification on.
+    pub(super) fn accepts_requests(&self, endpoint: EndpointKey) -> bool {
+        let endpoint = &self.endpoints[endpoint];
+        match endpoint.status {
+            EndpointStatus::Serving => true,
+            EndpointStatus::Draining => false,
+            EndpointStatus::Removed => self.settings.removal_is_advisory && !endpoint.drain_announced,
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/results.rs
@@ -0,0 +1,115 @@
+//! What the end of an attempt tells of its endpoint, and whether the request is retried.
+
+use super::outlier_detection::{CONNECTION_LOST, CONNECTION_RESET, EJECTION_SCORE, FAILURE};
+use super::{Policy, SAMPLE_WEIGHT};
+use crate::interface::{Action, AttemptResult, LoadReport, Outcome};
+use crate::state::{Attempt, EndpointKey, RequestKey};
+
+/// An endpoint has room for so many connections at least: fewer poolers cannot fill it with idle ones.
+const MIN_CONNECTION_LIMIT: u32 = 200;
+/// Highest latency ratio of a single sample: one outlier does not spoil the mean.
+const MAX_LATENCY_RATIO: f64 = 10.0;
+
+impl Policy {
+    pub(super) fn attempt_finished(&mut self, result: &AttemptResult) {
+        let Some(endpoint) = self.endpoints.key(&result.endpoint) else { return };
+        let answer = LoadReport { log_position: result.log_position, primary: result.primary };
+        self.endpoints[endpoint].observe(&answer, true, self.now);
+        self.endpoints[endpoint].observe(&result.report, false, self.now);
+        if let Some(key) = self.requests.key(&result.id) {
+            self.process_result(key, endpoint, result);
+        }
+        self.elect_primary(self.endpoints[endpoint].group);
+    }
+
+    fn process_result(&mut self, key: RequestKey, endpoint: EndpointKey, result: &AttemptResult) {
+        let Some(request) = self.requests.get_mut(key) else { return };
+        let class = request.class;
+        let Some(attempt) = request.close_attempt(result.attempt, result.outcome) else { return };
+        self.record_result(class, &attempt, result);
+        self.spare_connections(endpoint);
+        self.remember_write(key, result);
+        self.finish_or_retry(key, endpoint, result);
+    }
+
+    fn record_result(&mut self, class: usize, attempt: &Attempt, result: &AttemptResult) {
+        let endpoint = attempt.endpoint;
+        let (now, latency) = (self.now, self.latency[class]);
+        let ratio = (result.elapsed / latency.mean).min(MAX_LATENCY_RATIO);
+        let state = &mut self.endpoints[endpoint];
+        state.attempt_ended(result.outcome, now);
+        match result.outcome {
+            Outcome::Success => {
+                state.latest_served_send_at = state.latest_served_send_at.max(attempt.sent_at);
+                state.load.sample_latency_ratio(ratio, SAMPLE_WEIGHT);
+                self.latency[class].record(result.elapsed, SAMPLE_WEIGHT);
+                self.record_success(endpoint);
+            }
+            // It is behind: it is left to catch up for as long as that takes at the least.
+            Outcome::Ineligible => {
+                let lag = (now - state.log_position).clamp(0.0, self.settings.slow_start_window);
+                state.stale_until = now + lag.max(self.settings.connect_timeout);
+            }
+            // It counts as load for a while: an endpoint would look idle for rejecting work.
+            Outcome::Overloaded => state.load.abandoned.push(now + latency.mean),
+            Outcome::Error => self.record_failure(endpoint, FAILURE),
+            Outcome::ConnectFailed => self.connect_failed(endpoint, attempt, result.elapsed),
+            // Links and single queries break too: where the process died, connects are refused at once.
+            Outcome::ConnectionReset => self.record_failure(endpoint, CONNECTION_RESET),
+            Outcome::Timeout | Outcome::Cancelled => {
+                state.load.abandoned.push(now + latency.upper(1.0));
+                if result.outcome == Outcome::Timeout && !attempt.cancelled {
+                    state.load.sample_latency_ratio(ratio, SAMPLE_WEIGHT);
+                    // One that answers others meanwhile is crowded, and to eject it would crowd the rest.
+                    if state.is_silent_since(attempt.sent_at) {
+                        self.record_failure(endpoint, FAILURE);
+                    }
+                }
+            }
+            // What a client asked wrongly says nothing of the endpoint's health.
+            Outcome::NotSent | Outcome::InvalidRequest => {}
+        }
+    }
+
+    /// Refused at once: the process is down, or its connections are all held, most of them idle.
+    fn connect_failed(&mut self, endpoint: EndpointKey, attempt: &Attempt, elapsed: f64) {
+        let timeout = self.settings.connect_timeout;
+        let state = &mut self.endpoints[endpoint];
+        state.health.connect_failed_at = self.now;
+        let is_refused = elapsed < timeout / 2.0;
+        if is_refused && self.settings.pooler_count > MIN_CONNECTION_LIMIT {
+            self.connections_scarce_until = self.now + self.settings.max_watch_gap;
+        }
+        // Of one that has just answered others this may be a single connection.
+        let is_dead = is_refused && self.now - state.last_response_at >= timeout;
+        if is_refused || !attempt.silence_counted {
+            self.record_failure(endpoint, if is_dead { EJECTION_SCORE } else { CONNECTION_LOST });
+        }
+    }
+
+    fn spare_connections(&mut self, endpoint: EndpointKey) {
+        let endpoint = &self.endpoints[endpoint];
+        if self.now < self.connections_scarce_until && endpoint.load.in_flight == 0 {
+            self.actions.push(Action::CloseIdleConnections { endpoint: endpoint.id.clone() });
+        }
+    }
+
+    fn finish_or_retry(&mut self, key: RequestKey, endpoint: EndpointKey, result: &AttemptResult) {
+        let Some(request) = self.requests.get(key) else { return };
+        if result.request_finished || request.finished {
+            return self.requests.finish(key);
+        }
+        let is_write = self.class(request.class).is_write();
+        let may_have_run = !result.outcome.proves_not_executed();
+        // An overloaded primary has no stand-in: a retry would meet the same crowd within milliseconds.
+        let is_primary = self.endpoints.primary(request.group) == Some(endpoint);
+        let is_primary_full = is_primary && result.outcome == Outcome::Overloaded;
+        if is_primary_full || may_have_run && !self.retry_budget.try_withdraw() {
+            return self.reject_or_fail(key);
+        }
+        if result.outcome == Outcome::Ineligible && is_write {
+            self.elect_primary(self.endpoints[endpoint].group);
+        }
+        self.dispatch(key);
+    }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,237 @@
+//! The settings that a [`Policy`](crate::Policy) is created with. All times are in seconds.
+
+mod validation;
+
+pub(crate) use validation::validate;
+pub use validation::SettingsError;
+
+/// What happens when a request is executed more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Idempotency {
+    /// Repeating the request is harmless.
+    Idempotent,
+    /// The request carries an idempotency key: repeats are dropped inside a [`DeduplicationScope`] for a while.
+    IdempotencyKey,
+    /// A repeat may take effect twice.
+    NonIdempotent,
+}
+
+/// The endpoints among which repeats of a request with an idempotency key are dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DeduplicationScope {
+    /// Every endpoint of the fleet.
+    AnyEndpoint,
+    /// The endpoints of the request's group.
+    Group,
+}
+
+/// How recent the data behind an answer must be.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Consistency {
+    /// Not a read: only the primary takes it.
+    Write,
+    /// The read must see every commit from before it was received.
+    Strong,
+    /// The read must see its session's own writes.
+    Session,
+    /// The data may be at most this many seconds old when the request is sent.
+    BoundedStaleness(f64),
+    /// Any endpoint may answer.
+    Eventual,
+}
+
+/// A class of requests, with what its clients expect.
+#[derive(Clone, Debug)]
+pub struct RequestClass {
+    /// An answer within this time earns the full weight.
+    pub latency_objective: f64,
+    /// The latency objective grows by this multiple of the request's predicted work.
+    pub latency_objective_factor: f64,
+    /// How long a client waits in all.
+    pub deadline: f64,
+    /// How long repeats with the same idempotency key are dropped.
+    pub deduplication_window: f64,
+    /// What a repeat can do.
+    pub idempotency: Idempotency,
+    /// Where repeats are dropped.
+    pub deduplication_scope: DeduplicationScope,
+    /// Share of the weight that an answer after the latency objective still earns.
+    pub late_weight: f64,
+    /// Weight of one answer, relative to the other classes.
+    pub priority_weight: f64,
+    /// How recent the data must be.
+    pub consistency: Consistency,
+}
+
+impl RequestClass {
+    /// Whether its requests modify data.
+    pub fn is_write(&self) -> bool {
+        self.consistency == Consistency::Write
+    }
+
+    /// How old the data may be, where its reads are bounded.
+    pub fn staleness_bound(&self) -> Option<f64> {
+        match self.consistency {
+            Consistency::BoundedStaleness(bound) => Some(bound),
+            _ => None,
+        }
+    }
+
+    /// Until when a request may be repeated that was first sent at this time and may have been executed.
+    pub fn repeatable_until(&self, sent_at: f64) -> f64 {
+        match self.idempotency {
+            Idempotency::Idempotent => f64::INFINITY,
+            Idempotency::IdempotencyKey => sent_at + self.deduplication_window,
+            Idempotency::NonIdempotent => f64::NEG_INFINITY,
+        }
+    }
+
+    /// Whether a client may send a request again that may have been executed.
+    pub fn clients_may_retry(&self) -> bool {
+        match self.idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::IdempotencyKey => self.deduplication_scope == DeduplicationScope::AnyEndpoint,
+            Idempotency::NonIdempotent => false,
+        }
+    }
+
+    /// Whether only the primary can answer its requests.
+    pub fn needs_primary(&self) -> bool {
+        matches!(self.consistency, Consistency::Write | Consistency::Strong)
+    }
+}
+
+impl Consistency {
+    /// The log position that a request sent now has to see; `session_token` is its session's last write.
+    pub fn required_position(self, now: f64, session_token: f64) -> f64 {
+        match self {
+            Consistency::BoundedStaleness(bound) => now - bound,
+            Consistency::Eventual => f64::NEG_INFINITY,
+            Consistency::Session => session_token,
+            Consistency::Write | Consistency::Strong => f64::INFINITY,
+        }
+    }
+}
+
+impl Default for RequestClass {
+    fn default() -> Self {
+        RequestClass {
+            latency_objective: 0.5,
+            latency_objective_factor: 0.0,
+            deadline: 1.0,
+            deduplication_window: 0.0,
+            idempotency: Idempotency::Idempotent,
+            deduplication_scope: DeduplicationScope::Group,
+            late_weight: 0.0,
+            priority_weight: 1.0,
+            consistency: Consistency::Eventual,
+        }
+    }
+}
+
+/// What an endpoint does with a read for which its data is too old.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum StaleReadHandling {
+    /// It answers from what it has.
+    Serve,
+    /// It rejects the read without executing it.
+    Reject,
+    /// It waits up to this many seconds to catch up, then rejects the read.
+    WaitThenReject(f64),
+}
+
+impl StaleReadHandling {
+    /// Whether endpoints themselves reject reads for which their data is too old.
+    pub fn is_checked(self) -> bool {
+        self != StaleReadHandling::Serve
+    }
+}
+
+/// Everything that a policy is told when it is created.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Request classes, by number.
+    pub classes: Vec<RequestClass>,
+    /// Requests per second within each tenant's quota, over all poolers; empty without tenants.
+    pub tenant_quota: Vec<f64>,
+    /// Weight of a request beyond its tenant's quota, relative to one within it.
+    pub over_quota_weight: f64,
+    /// How many poolers share the endpoints.
+    pub pooler_count: u32,
+    /// The pooler's own zone.
+    pub zone: u32,
+    /// Shortest time between two batches of events.
+    pub tick: f64,
+    /// Whether health checks are allowed and their reports tell a log position or a role.
+    pub health_checks: bool,
+    /// Whether attempts may be cancelled.
+    pub cancellation: bool,
+    /// Whether one request may have two attempts in flight.
+    pub hedging: bool,
+    /// Most attempts for a request.
+    pub max_attempts: u32,
+    /// Whether rejections may carry a Retry-After.
+    pub send_retry_after: bool,
+    /// Longest Retry-After that a client honours.
+    pub max_retry_after: f64,
+    /// A connection that is not established within this time fails.
+    pub connect_timeout: f64,
+    /// Whether the endpoint list has to be watched, rather than being pushed unasked.
+    pub watch_endpoints: bool,
+    /// Longest time that may pass without a watch or a call for the endpoint list.
+    pub max_watch_gap: f64,
+    /// A starting endpoint has at least this share of its capacity.
+    pub initial_capacity: f64,
+    /// A starting endpoint has its full capacity after this time.
+    pub slow_start_window: f64,
+    /// An endpoint in slow start collapses beyond this multiple of its present capacity ...
+    pub overload_limit: f64,
+    /// ... when that is kept up for this time.
+    pub overload_window: f64,
+    /// Only an announced drain is binding; an endpoint that merely disappeared may still be used.
+    pub removal_is_advisory: bool,
+    /// What endpoints do with reads for which their data is too old.
+    pub stale_reads: StaleReadHandling,
+    /// Whether session reads carry the age of the session's last write; otherwise the pooler remembers it.
+    pub session_tokens_carried: bool,
+}
+
+impl Settings {
+    /// Capacity of an endpoint so long after its start, as a share of its full one.
+    pub fn capacity_after(&self, time: f64) -> f64 {
+        if time >= self.slow_start_window {
+            return 1.0;
+        }
+        let warmed_up = (time / self.slow_start_window).max(0.0);
+        self.initial_capacity + (1.0 - self.initial_capacity) * warmed_up
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            classes: vec![RequestClass::default()],
+            tenant_quota: Vec::new(),
+            over_quota_weight: 1.0,
+            pooler_count: 1,
+            zone: 0,
+            tick: 0.005,
+            health_checks: false,
+            cancellation: true,
+            hedging: false,
+            max_attempts: 6,
+            send_retry_after: true,
+            max_retry_after: 1.0,
+            connect_timeout: 0.25,
+            watch_endpoints: false,
+            max_watch_gap: 10.0,
+            initial_capacity: 0.2,
+            slow_start_window: 15.0,
+            overload_limit: 3.0,
+            overload_window: 2.0,
+            removal_is_advisory: false,
+            stale_reads: StaleReadHandling::Reject,
+            session_tokens_carried: true,
+        }
+    }
+}
--- /dev/null
+++ b/src/state/endpoint.rs
@@ -0,0 +1,217 @@
+//! An endpoint, as far as this pooler knows it.
+
+use crate::interface::{Endpoint, EndpointId, EndpointStatus, LoadReport, Outcome, UpdateKind};
+
+const NEVER: f64 = f64::NEG_INFINITY;
+/// How far a log position may lie in the future for the sake of rounding (seconds).
+const CLOCK_TOLERANCE: f64 = 0.001;
+
+/// Everything that is known of one endpoint.
+#[derive(Default)]
+pub(crate) struct EndpointState {
+    pub id: EndpointId,
+    pub zone: u32,
+    pub group: u32,
+    pub status: EndpointStatus,
+    /// It was listed as draining: binding even where removal is only advisory.
+    pub drain_announced: bool,
+    pub started_at: f64,
+    /// Since when it has been warming up; long ago for one that is warm.
+    pub warming_since: f64,
+    /// When it was last listed as anything but removed.
+    pub last_listed_at: f64,
+    pub listed_primary: bool,
+    /// When the list last changed what it says of the role.
+    pub listed_primary_at: f64,
+    /// What the endpoint itself said of its role.
+    pub role: Option<RoleClaim>,
+    /// The highest log position that it told.
+    pub log_position: f64,
+    /// When it told that position.
+    pub log_position_at: f64,
+    /// No read is sent before then in the mere hope that its data is recent enough.
+    pub stale_until: f64,
+    /// When the last answer came.
+    pub last_response_at: f64,
+    /// When the latest of the attempts was sent that it has served.
+    pub latest_served_send_at: f64,
+    pub health: EndpointHealth,
+    pub load: EndpointLoad,
+    pub health_check_in_flight: bool,
+    pub last_health_check_at: f64,
+}
+
+/// A role that an endpoint claimed, dated by the time that it speaks of.
+#[derive(Clone, Copy)]
+pub(crate) struct RoleClaim {
+    pub primary: bool,
+    pub at: f64,
+}
+
+/// The evidence for and against ejecting an endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct EndpointHealth {
+    /// Weight of the failures so far; decays with time.
+    pub failure_score: f64,
+    pub score_updated_at: f64,
+    pub ejected: bool,
+    /// From when on one request may try it.
+    pub ejected_until: f64,
+    /// Ejections in a row, counting relapses.
+    pub consecutive_ejections: i32,
+    pub reinstated_at: f64,
+    /// The one request that tries an ejected endpoint is in flight.
+    pub trial_in_flight: bool,
+    /// When a connection to it last failed.
+    pub connect_failed_at: f64,
+}
+
+impl Default for EndpointHealth {
+    fn default() -> Self {
+        EndpointHealth {
+            failure_score: 0.0,
+            score_updated_at: 0.0,
+            ejected: false,
+            ejected_until: 0.0,
+            consecutive_ejections: 0,
+            reinstated_at: NEVER,
+            trial_in_flight: false,
+            connect_failed_at: NEVER,
+        }
+    }
+}
+
+/// The requests that this pooler has in flight at an endpoint, and how fast it answers.
+pub(crate) struct EndpointLoad {
+    pub in_flight: u32,
+    /// Abandoned attempts that may still be executed: they count as load until these times.
+    pub abandoned: Vec<f64>,
+    /// Running mean of the requests in flight when one more was sent.
+    pub usual: f64,
+    /// Running mean of the latency over what the class takes elsewhere.
+    pub latency_ratio: f64,
+    pub last_sent_at: f64,
+}
+
+impl EndpointLoad {
+    /// Takes a measured latency over that of its class into the running mean, with this weight.
+    pub fn sample_latency_ratio(&mut self, ratio: f64, weight: f64) {
+        self.latency_ratio += weight * (ratio - self.latency_ratio);
+    }
+
+    /// Requests in flight, abandoned ones included.
+    pub fn total(&self, now: f64) -> u32 {
+        let abandoned = self.abandoned.iter().filter(|until| **until > now).count();
+        self.in_flight + abandoned as u32
+    }
+}
+
+impl Default for EndpointLoad {
+    fn default() -> Self {
+        EndpointLoad {
+            in_flight: 0,
+            abandoned: Vec::new(),
+            usual: 0.0,
+            latency_ratio: 1.0,
+            last_sent_at: NEVER,
+        }
+    }
+}
+
+impl EndpointState {
+    /// An endpoint of which nothing is known but its place.
+    pub fn new(id: EndpointId, zone: u32, group: u32) -> EndpointState {
+        EndpointState {
+            id,
+            zone,
+            group,
+            warming_since: NEVER,
+            log_position: NEVER,
+            log_position_at: NEVER,
+            last_response_at: NEVER,
+            latest_served_send_at: NEVER,
+            last_health_check_at: NEVER,
+            ..EndpointState::default()
+        }
+    }
+
+    /// Takes over an entry of the endpoint list. After a restart its health begins anew and it warms up.
+    pub fn apply(&mut self, kind: UpdateKind, entry: &Endpoint, now: f64) {
+        self.zone = entry.zone;
+        if entry.started_at > self.started_at {
+            self.started_at = entry.started_at;
+            self.warming_since = self.warming_since.max(entry.started_at.min(now));
+            self.health.failure_score = 0.0;
+            self.health.ejected_until = 0.0;
+            self.health.ejected = false;
+        }
+        if entry.primary != self.listed_primary || kind == UpdateKind::Cached {
+            self.listed_primary = entry.primary;
+            self.listed_primary_at = now;
+        }
+        self.drain_announced = match entry.status {
+            EndpointStatus::Serving => false,
+            EndpointStatus::Draining => true,
+            EndpointStatus::Removed => self.drain_announced,
+        };
+        self.status = entry.status;
+    }
+
+    /// Whether it has answered nothing since this time.
+    pub fn is_silent_since(&self, time: f64) -> bool {
+        self.last_response_at < time
+    }
+
+    /// Whether it was removed, and neither listed nor used since this time.
+    pub fn is_removed_since(&self, horizon: f64) -> bool {
+        let last_used = self.load.last_sent_at.max(self.last_listed_at);
+        let is_idle = self.load.in_flight == 0 && last_used < horizon;
+        self.status == EndpointStatus::Removed && is_idle
+    }
+
+    /// Notes that an attempt was sent; the usual load takes in the present one with this weight.
+    pub fn attempt_sent(&mut self, now: f64, weight: f64) {
+        self.health.trial_in_flight |= self.health.ejected;
+        self.load.usual += weight * (f64::from(self.load.in_flight) - self.load.usual);
+        self.load.in_flight += 1;
+        self.load.last_sent_at = now;
+    }
+
+    /// Notes that an attempt ended in this way.
+    pub fn attempt_ended(&mut self, outcome: Outcome, now: f64) {
+        self.health.trial_in_flight = false;
+        self.load.in_flight = self.load.in_flight.saturating_sub(1);
+        self.load.abandoned.retain(|until| *until > now);
+        if outcome.is_response() {
+            self.last_response_at = now;
+        }
+    }
+
+    /// Date of the newest claim that it is the primary: by itself, or by a list that is later than that. What a
+    /// list says is as old as `list_age`.
+    pub fn primary_claim(&self, list_age: f64) -> Option<f64> {
+        let listed = self.listed_primary.then_some(self.listed_primary_at - list_age);
+        match self.role {
+            Some(RoleClaim { primary: true, at }) => Some(listed.map_or(at, |listed| listed.max(at))),
+            Some(RoleClaim { primary: false, at }) => listed.filter(|listed| *listed > at),
+            None => listed,
+        }
+    }
+
+    /// Takes in what it told of its log position, which never goes back, and of its role. A role in an answer is
+    /// as of now, one in a load report of unknown age as of its log position. The newest claim counts.
+    pub fn observe(&mut self, told: &LoadReport, is_answer: bool, now: f64) {
+        let position = told.log_position.filter(|p| p.is_finite() && *p <= now + CLOCK_TOLERANCE);
+        // A claim with a position below the known one was written earlier: it may be no primary by now.
+        let is_outdated = position.is_some_and(|p| p < self.log_position);
+        if let Some(position) = position.filter(|p| *p > self.log_position) {
+            self.log_position = position;
+            self.log_position_at = now;
+        }
+        let Some(primary) = told.primary.filter(|primary| !primary || !is_outdated) else { return };
+        let at = if is_answer { now } else { position.unwrap_or(NEVER) };
+        if self.role.is_none_or(|known| at >= known.at) {
+            self.role = Some(RoleClaim { primary, at });
+        }
+    }
+}
--- /dev/null
+++ b/src/state/policy.rs
@@ -0,0 +1,70 @@
+//! The state of a policy.
+
+use super::{EndpointTable, LatencyEstimator, RequestTable, SessionTable, TokenBucket, Watch};
+use crate::interface::Action;
+use crate::settings::{RequestClass, Settings};
+
+/// Decides where each request of one pooler goes.
+pub struct Policy {
+    pub(crate) settings: Settings,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) now: f64,
+    /// What is to be done about the present event.
+    pub(crate) actions: Vec<Action>,
+    pub(crate) housekeeping_interval: f64,
+    pub(crate) housekeeping_scheduled: bool,
+    pub(crate) endpoints: EndpointTable,
+    pub(crate) requests: RequestTable,
+    /// Latency of successful attempts, by class.
+    pub(crate) latency: Vec<LatencyEstimator>,
+    /// Running share of the requests that a replica may answer.
+    pub(crate) read_share: f64,
+    /// The shortest staleness bound of any class.
+    pub(crate) shortest_staleness: f64,
+    pub(crate) sessions: SessionTable,
+    pub(crate) watch: Watch,
+    pub(crate) retry_budget: TokenBucket,
+    pub(crate) health_check_budget: TokenBucket,
+    pub(crate) tenant_quotas: Vec<TokenBucket>,
+    /// Load shedding is not logged again before then.
+    pub(crate) shedding_until: f64,
+    /// Until then endpoints are taken to have no room for idle connections.
+    pub(crate) connections_scarce_until: f64,
+}
+
+impl Policy {
+    /// The state of a pooler that knows nothing yet.
+    pub(crate) fn empty(settings: Settings, rng: fastrand::Rng) -> Policy {
+        let staleness_bounds = settings.classes.iter().filter_map(RequestClass::staleness_bound);
+        Policy {
+            shortest_staleness: staleness_bounds.fold(1.0, f64::min),
+            settings,
+            rng,
+            now: 0.0,
+            actions: Vec::new(),
+            housekeeping_interval: 0.0,
+            housekeeping_scheduled: false,
+            endpoints: EndpointTable::default(),
+            requests: RequestTable::default(),
+            latency: Vec::new(),
+            read_share: 1.0,
+            sessions: SessionTable::default(),
+            watch: Watch::default(),
+            retry_budget: TokenBucket::default(),
+            health_check_budget: TokenBucket::default(),
+            tenant_quotas: Vec::new(),
+            shedding_until: f64::NEG_INFINITY,
+            connections_scarce_until: f64::NEG_INFINITY,
+        }
+    }
+
+    /// How many endpoints are kept in memory, those that were removed lately included.
+    pub fn endpoints_known(&self) -> usize {
+        self.endpoints.slots()
+    }
+
+    /// How many groups are kept in memory.
+    pub fn groups_known(&self) -> usize {
+        self.endpoints.groups.len()
+    }
+}
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -8,7 +8,7 @@
 "#;
 
 fn drill(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_dewferry-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pg-pooler-sim-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -74,7 +74,7 @@
     for (from, to, field) in [
         (r#""deadline":1.0"#, r#""deadline":-1.0"#, "classes[0].deadline"),
         (r#"["any"]"#, r#"["any","write"]"#, "differ in length"),
-        (r#""unknown""#, r#""fleetSize":0,"unknown""#, "fleet_size"),
+        (r#""unknown""#, r#""fleetSize":0,"unknown""#, "fleetSize"),
     ] {
         let output = drill(&opening().replace(from, to));
         let message = String::from_utf8(output.stderr).unwrap();
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -3,19 +3,19 @@
 use std::process::{Command, Output};
 
 fn run(args: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_dewferry")).args(args).env_remove("LB_CONFIG").output().unwrap()
+    Command::new(env!("CARGO_BIN_EXE_pg-pooler")).args(args).env_remove("LB_CONFIG").output().unwrap()
 }
 
 #[test]
 fn version_is_that_of_the_crate() {
     let output = run(&["version"]);
     assert!(output.status.success());
-    assert_eq!(output.stdout, format!("dewferry {}\n", env!("CARGO_PKG_VERSION")).as_bytes());
+    assert_eq!(output.stdout, format!("pg-pooler {}\n", env!("CARGO_PKG_VERSION")).as_bytes());
 }
 
 #[test]
 fn a_configuration_that_cannot_be_used_is_named_with_its_fault() {
-    let file = std::env::temp_dir().join(format!("dewferry-cli-{}.json", std::process::id()));
+    let file = std::env::temp_dir().join(format!("pg-pooler-cli-{}.json", std::process::id()));
     let path = file.to_str().unwrap();
     let whole = r#"{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"7f","settings":{
         "classes":[{"name":"a","aim":1,"deadline":2}],"specifics":{"consistency":["any"]},
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -32,14 +32,14 @@
 impl Pooler {
     /// Starts the program on a configuration in which each of `edits` is made.
     pub fn start(list: &str, discovery: &Discovery, edits: &[(&str, &str)]) -> Pooler {
-        Pooler::start_as(Command::new(env!("CARGO_BIN_EXE_dewferry")), list, discovery, edits)
+        Pooler::start_as(Command::new(env!("CARGO_BIN_EXE_pg-pooler")), list, discovery, edits)
     }
 
     /// The same where the system gives it only so many descriptors, whatever its configuration says.
     pub fn start_with_descriptors(count: u32, list: &str, discovery: &Discovery) -> Pooler {
         let mut command = Command::new("sh");
         command.arg("-c").arg(format!("ulimit -n {count}; exec \"$0\" \"$@\""));
-        command.arg(env!("CARGO_BIN_EXE_dewferry"));
+        command.arg(env!("CARGO_BIN_EXE_pg-pooler"));
         Pooler::start_as(command, list, discovery, &[])
     }
 
@@ -54,7 +54,7 @@
             text = text.replace(from, to);
         }
         let number = discovery.address().port();
-        let path = std::env::temp_dir().join(format!("dewferry-{}-{number}.json", std::process::id()));
+        let path = std::env::temp_dir().join(format!("pg-pooler-{}-{number}.json", std::process::id()));
         std::fs::write(&path, text).unwrap();
         let mut child = command
             .args(["serve", "--config"])
@@ -100,7 +100,7 @@
     /// The counters, which also shows that all that came before is dealt with.
     pub fn counters(&self) -> String {
         self.signal("USR1");
-        self.logged("taken=")
+        self.logged("requests_received=")
     }
 
     /// Processor time taken so far, as the kernel tells it: in hundredths, in the 14th and 15th field.
