--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,7 +1,8 @@
 //! Small scenarios that drive the policy by events. Each guards one decision.
 
-use dewferry::interface::*;
-use dewferry::Policy;
+use pg_pooler::interface::*;
+use pg_pooler::settings::*;
+use pg_pooler::Policy;
 use rstest::rstest;
 
 /// Drives one policy and keeps what it did.
@@ -12,28 +13,36 @@
     timers: Vec<(f64, u64)>,
 }
 
-fn class(consistency: Consistency, effect: Effect) -> Class {
-    Class { aim: 0.5, deadline: 2.0, dedup_window: 1.2, effect, value: 1.0, consistency, ..Class::default() }
+fn class(consistency: Consistency, idempotency: Idempotency) -> RequestClass {
+    RequestClass {
+        latency_objective: 0.5,
+        deadline: 2.0,
+        deduplication_window: 1.2,
+        idempotency,
+        priority_weight: 1.0,
+        consistency,
+        ..RequestClass::default()
+    }
 }
 
 /// Classes: 0 write (keyed, late worth), 1 bounded to 0.5 s, 2 session, 3 any, 4 fresh, 5 unsafe write.
 fn settings() -> Settings {
-    let write = Class { late_worth: 0.3, ..class(Consistency::Write, Effect::Keyed) };
+    let write = RequestClass { late_weight: 0.3, ..class(Consistency::Write, Idempotency::IdempotencyKey) };
     Settings {
         classes: vec![
             write,
-            class(Consistency::Bounded(0.5), Effect::Safe),
-            class(Consistency::Session, Effect::Safe),
-            class(Consistency::Any, Effect::Safe),
-            class(Consistency::Fresh, Effect::Safe),
-            class(Consistency::Write, Effect::Unsafe),
+            class(Consistency::BoundedStaleness(0.5), Idempotency::Idempotent),
+            class(Consistency::Session, Idempotency::Idempotent),
+            class(Consistency::Eventual, Idempotency::Idempotent),
+            class(Consistency::Strong, Idempotency::Idempotent),
+            class(Consistency::Write, Idempotency::NonIdempotent),
         ],
         ..Settings::default()
     }
 }
 
-fn entry(member: &str, zone: u32, primary: bool) -> Entry {
-    Entry { member: member.into(), zone, primary, ..Entry::default() }
+fn entry(endpoint: &str, zone: u32, primary: bool) -> Endpoint {
+    Endpoint { id: endpoint.into(), zone, primary, ..Endpoint::default() }
 }
 
 impl Drive {
@@ -45,7 +54,10 @@
             acts: Vec::new(),
             timers: Vec::new(),
         };
-        drive.list(ListKind::Saved, vec![entry("p", 0, true), entry("r", 0, false), entry("far", 1, false)]);
+        drive.list(
+            UpdateKind::Cached,
+            vec![entry("p", 0, true), entry("r", 0, false), entry("far", 1, false)],
+        );
         drive
     }
 
@@ -53,7 +65,7 @@
         let mut out = Vec::new();
         self.policy.handle(self.now, event, &mut out);
         for action in &out {
-            if let Action::Timer { at, cookie } = action {
+            if let Action::SetTimer { at, cookie } = action {
                 self.timers.push((*at, *cookie));
             }
         }
@@ -61,8 +73,8 @@
         out
     }
 
-    fn list(&mut self, kind: ListKind, entries: Vec<Entry>) -> Vec<Action> {
-        self.feed(Event::Members { kind, entries })
+    fn list(&mut self, kind: UpdateKind, endpoints: Vec<Endpoint>) -> Vec<Action> {
+        self.feed(Event::Endpoints { kind, endpoints })
     }
 
     /// Lets time pass, firing timers as they come due.
@@ -83,58 +95,58 @@
     }
 
     fn ask(&mut self, id: &str, class: usize) -> Vec<Action> {
-        self.feed(Event::arrival(id, class, 0, 1.8))
+        self.feed(Event::request(id, class, 0, 1.8))
     }
 
-    fn answer(&mut self, id: &str, member: &str, attempt: usize, outcome: Outcome) -> Vec<Action> {
-        self.told(id, member, attempt, outcome, None, None)
+    fn answer(&mut self, id: &str, endpoint: &str, attempt: usize, outcome: Outcome) -> Vec<Action> {
+        self.told(id, endpoint, attempt, outcome, None, None)
     }
 
     fn told(
         &mut self,
         id: &str,
-        member: &str,
+        endpoint: &str,
         attempt: usize,
         outcome: Outcome,
         primary: Option<bool>,
         position: Option<f64>,
     ) -> Vec<Action> {
-        self.feed(Event::Done(Done {
+        self.feed(Event::AttemptFinished(AttemptResult {
             id: id.into(),
-            member: member.into(),
+            endpoint: endpoint.into(),
             attempt,
             outcome,
-            finished: outcome == Outcome::Ok,
+            request_finished: outcome == Outcome::Success,
             elapsed: 0.05,
-            position,
+            log_position: position,
             primary,
-            report: Report::default(),
+            report: LoadReport::default(),
         }))
     }
 
     /// Makes a replica known to be fresh as of now.
-    fn freshen(&mut self, member: &str) {
-        let report = Report { position: Some(self.now), primary: Some(false) };
-        self.feed(Event::Probed { member: member.into(), outcome: Outcome::Ok, report });
+    fn freshen(&mut self, endpoint: &str) {
+        let report = LoadReport { log_position: Some(self.now), primary: Some(false) };
+        self.feed(Event::HealthChecked { endpoint: endpoint.into(), outcome: Outcome::Success, report });
     }
 }
 
 /// A request of the session "s".
 fn of_session(id: &str, class: usize) -> Event {
-    let Event::Arrival(mut arrival) = Event::arrival(id, class, 0, 1.0) else { unreachable!() };
+    let Event::Request(mut arrival) = Event::request(id, class, 0, 1.0) else { unreachable!() };
     arrival.session = Some("s".into());
-    Event::Arrival(arrival)
+    Event::Request(arrival)
 }
 
 fn sent(actions: &[Action]) -> Vec<&str> {
     actions
         .iter()
-        .filter_map(|a| if let Action::Send { member, .. } = a { Some(&**member) } else { None })
+        .filter_map(|a| if let Action::Send { endpoint, .. } = a { Some(&**endpoint) } else { None })
         .collect()
 }
 
 fn finals(actions: &[Action]) -> usize {
-    actions.iter().filter(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. })).count()
+    actions.iter().filter(|a| matches!(a, Action::Reject { .. } | Action::Fail { .. })).count()
 }
 
 #[test]
@@ -161,7 +173,7 @@
 
 #[test]
 fn a_stale_home_replica_is_passed_over() {
-    let mut d = Drive::new(Settings { when_behind: WhenBehind::Silent, ..settings() });
+    let mut d = Drive::new(Settings { stale_reads: StaleReadHandling::Serve, ..settings() });
     d.freshen("r");
     d.now += 0.6;
     d.freshen("far");
@@ -172,9 +184,9 @@
 
 #[test]
 fn an_impossible_position_is_ignored() {
-    let mut d = Drive::new(Settings { when_behind: WhenBehind::Silent, ..settings() });
-    let report = Report { position: Some(d.now + 50.0), primary: Some(false) };
-    d.feed(Event::Probed { member: "r".into(), outcome: Outcome::Ok, report });
+    let mut d = Drive::new(Settings { stale_reads: StaleReadHandling::Serve, ..settings() });
+    let report = LoadReport { log_position: Some(d.now + 50.0), primary: Some(false) };
+    d.feed(Event::HealthChecked { endpoint: "r".into(), outcome: Outcome::Success, report });
     assert_eq!(sent(&d.ask("b", 1)), ["p"]);
 }
 
@@ -182,7 +194,7 @@
 fn where_reads_are_checked_an_unheard_replica_is_tried_once_then_left_to_catch_up() {
     let mut d = Drive::new(settings());
     assert_eq!(sent(&d.ask("b", 1)), ["r"]);
-    let next = d.told("b", "r", 0, Outcome::Miss, Some(false), Some(d.now - 3.0));
+    let next = d.told("b", "r", 0, Outcome::Ineligible, Some(false), Some(d.now - 3.0));
     assert_ne!(sent(&next), ["r"]);
     assert_ne!(sent(&d.ask("c", 1)), ["r"]);
 }
@@ -191,27 +203,27 @@
 fn an_any_read_goes_to_the_home_replica_that_is_behind() {
     let mut d = Drive::new(settings());
     let mut list = vec![entry("r2", 0, false)];
-    list[0].member = "r2".into();
-    d.list(ListKind::Incremental, list);
+    list[0].id = "r2".into();
+    d.list(UpdateKind::Delta, list);
     d.freshen("r2");
     d.now += 2.0;
     d.freshen("r");
     for i in 0..4 {
         let goal = d.ask(&format!("a{i}"), 3);
         assert_eq!(sent(&goal), ["r2"]);
-        d.answer(&format!("a{i}"), "r2", 0, Outcome::Ok);
+        d.answer(&format!("a{i}"), "r2", 0, Outcome::Success);
     }
 }
 
 #[test]
 fn a_session_read_waits_for_its_token() {
-    let mut d = Drive::new(Settings { when_behind: WhenBehind::Silent, ..settings() });
+    let mut d = Drive::new(Settings { stale_reads: StaleReadHandling::Serve, ..settings() });
     d.freshen("r");
     d.now += 0.2;
     let read = |id: &str, age: f64| {
-        let Event::Arrival(mut a) = Event::arrival(id, 2, 0, 1.0) else { unreachable!() };
-        a.token_age = Some(age);
-        Event::Arrival(a)
+        let Event::Request(mut a) = Event::request(id, 2, 0, 1.0) else { unreachable!() };
+        a.session_token_age = Some(age);
+        Event::Request(a)
     };
     assert_eq!(sent(&d.feed(read("old", 0.3))), ["r"]);
     assert_eq!(sent(&d.feed(read("new", 0.1))), ["p"]);
@@ -219,36 +231,44 @@
 
 #[test]
 fn a_remembered_write_binds_the_sessions_reads() {
-    let mut d = Drive::new(Settings { when_behind: WhenBehind::Silent, tokens_carried: false, ..settings() });
+    let mut d = Drive::new(Settings {
+        stale_reads: StaleReadHandling::Serve,
+        session_tokens_carried: false,
+        ..settings()
+    });
     d.freshen("r");
     assert_eq!(sent(&d.feed(of_session("before", 2))), ["r"]);
     d.feed(of_session("w", 0));
     d.now += 0.05;
-    d.told("w", "p", 0, Outcome::Ok, Some(true), Some(d.now));
+    d.told("w", "p", 0, Outcome::Success, Some(true), Some(d.now));
     assert_eq!(sent(&d.feed(of_session("after", 2))), ["p"]);
 }
 
 #[test]
 fn a_write_that_hides_its_commit_binds_its_session_all_the_same() {
-    let mut d = Drive::new(Settings { when_behind: WhenBehind::Silent, tokens_carried: false, ..settings() });
+    let mut d = Drive::new(Settings {
+        stale_reads: StaleReadHandling::Serve,
+        session_tokens_carried: false,
+        ..settings()
+    });
     d.freshen("r");
     // Without a commit, and with one that nobody can have reached yet.
     for (id, commit) in [("1", None), ("2", Some(d.now + 1e6)), ("3", Some(f64::NAN))] {
         d.now += 0.1;
         d.feed(of_session(id, 0));
-        d.told(id, "p", 0, Outcome::Ok, Some(true), commit);
+        d.told(id, "p", 0, Outcome::Success, Some(true), commit);
         assert_eq!(sent(&d.feed(of_session(&format!("{id} read"), 2))), ["p"]);
-        d.told(&format!("{id} read"), "p", 0, Outcome::Ok, Some(true), None);
+        d.told(&format!("{id} read"), "p", 0, Outcome::Success, Some(true), None);
         d.freshen("r");
         assert_eq!(sent(&d.feed(of_session(&format!("{id} later"), 2))), ["r"]);
-        d.told(&format!("{id} later"), "r", 0, Outcome::Ok, Some(false), None);
+        d.told(&format!("{id} later"), "r", 0, Outcome::Success, Some(false), None);
     }
 }
 
 #[test]
 fn a_request_is_held_to_the_time_of_its_class() {
     let mut d = Drive::new(settings());
-    let acts = d.feed(Event::arrival("w", 0, 0, 1e9));
+    let acts = d.feed(Event::request("w", 0, 0, 1e9));
     assert!(matches!(acts[..], [.., Action::Send { timeout, .. }] if timeout <= 2.0), "{acts:?}");
     assert_eq!(finals(&d.pass(2.0)), 1);
 }
@@ -257,39 +277,39 @@
 fn an_answer_from_a_replica_ends_its_time_as_primary_at_once() {
     let mut d = Drive::new(settings());
     d.ask("w", 0);
-    d.told("w", "p", 0, Outcome::Miss, Some(false), None);
+    d.told("w", "p", 0, Outcome::Ineligible, Some(false), None);
     assert!(!sent(&d.ask("f", 4)).contains(&"p"));
-    let next = d.told("none", "r", 0, Outcome::Ok, Some(true), Some(d.now));
+    let next = d.told("none", "r", 0, Outcome::Success, Some(true), Some(d.now));
     assert_eq!(sent(&next), ["r", "r"], "held requests go to the one that says it is primary");
 }
 
-/// An answer that was written while its member was primary, and came after one in which it said that it was none, counted
+/// An answer that was written while its endpoint was primary, and came after one in which it said that it was none, counted
 /// as the newer word: a fresh read then went to a replica.
 #[test]
 fn a_claim_that_comes_late_is_as_old_as_its_position() {
     let mut d = Drive::new(settings());
-    d.list(ListKind::Full, vec![entry("r", 0, false)]);
+    d.list(UpdateKind::Snapshot, vec![entry("r", 0, false)]);
     let begun = d.now;
     assert_eq!(sent(&d.ask("late", 3)), ["r"]);
     assert_eq!(sent(&d.ask("soon", 3)), ["r"]);
     d.now += 0.2;
-    d.told("soon", "r", 0, Outcome::Ok, Some(false), Some(begun + 0.15));
+    d.told("soon", "r", 0, Outcome::Success, Some(false), Some(begun + 0.15));
     d.now += 0.1;
-    d.told("late", "r", 0, Outcome::Ok, Some(true), Some(begun + 0.05));
+    d.told("late", "r", 0, Outcome::Success, Some(true), Some(begun + 0.05));
     d.now += 0.01;
     assert_eq!(sent(&d.ask("fresh", 4)), [""; 0], "nobody is known to be primary");
     // What one says of now counts: the held read goes there.
     let goal = sent(&d.ask("again", 3))[0].to_string();
-    assert_eq!(sent(&d.told("again", &goal, 0, Outcome::Ok, Some(true), Some(d.now))), [goal.as_str()]);
+    assert_eq!(sent(&d.told("again", &goal, 0, Outcome::Success, Some(true), Some(d.now))), [goal.as_str()]);
 }
 
 #[test]
 fn a_newer_claim_beats_an_older_and_the_list() {
     let mut d = Drive::new(settings());
-    d.told("x", "p", 0, Outcome::Ok, Some(true), Some(d.now));
+    d.told("x", "p", 0, Outcome::Success, Some(true), Some(d.now));
     d.now += 1.0;
-    d.told("x", "r", 0, Outcome::Ok, Some(true), Some(d.now));
-    d.list(ListKind::Incremental, vec![entry("p", 0, true)]);
+    d.told("x", "r", 0, Outcome::Success, Some(true), Some(d.now));
+    d.list(UpdateKind::Delta, vec![entry("p", 0, true)]);
     assert_eq!(sent(&d.ask("w", 0)), ["r"]);
 }
 
@@ -309,8 +329,8 @@
 fn nothing_is_sent_after_the_final_answer() {
     let mut d = Drive::new(settings());
     d.ask("b", 1);
-    d.feed(Event::Gone { id: "b".into() });
-    assert_eq!(sent(&d.answer("b", "r", 0, Outcome::Miss)).len(), 0);
+    d.feed(Event::ClientDisconnected { id: "b".into() });
+    assert_eq!(sent(&d.answer("b", "r", 0, Outcome::Ineligible)).len(), 0);
 }
 
 #[test]
@@ -319,7 +339,7 @@
     d.ask("u", 5);
     let next = d.answer("u", "p", 0, Outcome::Error);
     assert_eq!(
-        next.iter().find(|a| !matches!(a, Action::Timer { .. })),
+        next.iter().find(|a| !matches!(a, Action::SetTimer { .. })),
         Some(&Action::Fail { id: "u".into() })
     );
 }
@@ -351,10 +371,10 @@
                 let id = format!("w{i}");
                 d.ask(&id, 0);
                 d.pass(0.01);
-                d.told(&id, "p", 0, Outcome::Ok, Some(true), None);
+                d.told(&id, "p", 0, Outcome::Success, Some(true), None);
             }
         }
-        let cancel = Action::Cancel { id: "lost".into(), attempt: 0 };
+        let cancel = Action::CancelAttempt { id: "lost".into(), attempt: 0 };
         (d.acts.contains(&cancel), d)
     };
     let (given_up, mut d) = cancelled(true);
@@ -373,11 +393,11 @@
         let id = format!("w{i}");
         d.ask(&id, 0);
         d.pass(list_at / 20.0 * 0.25);
-        d.told(&id, "p", 0, Outcome::Ok, Some(true), None);
+        d.told(&id, "p", 0, Outcome::Success, Some(true), None);
     }
-    d.list(ListKind::Incremental, vec![entry("far", 1, true), entry("p", 0, false)]);
-    d.told("none", "far", 0, Outcome::Ok, Some(true), None);
-    d.told("none", "p", 0, Outcome::Ok, Some(false), None);
+    d.list(UpdateKind::Delta, vec![entry("far", 1, true), entry("p", 0, false)]);
+    d.told("none", "far", 0, Outcome::Success, Some(true), None);
+    d.told("none", "p", 0, Outcome::Success, Some(false), None);
     d.pass(0.5);
     d
 }
@@ -385,7 +405,7 @@
 /// Where and with which time-out a request was sent.
 fn sends_of(d: &Drive, request: &str) -> Vec<(String, f64)> {
     let send = |action: &Action| match action {
-        Action::Send { id, member, timeout } if &**id == request => Some((member.to_string(), *timeout)),
+        Action::Send { id, endpoint, timeout } if &**id == request => Some((endpoint.to_string(), *timeout)),
         _ => None,
     };
     d.acts.iter().filter_map(send).collect()
@@ -393,8 +413,8 @@
 
 /// Settings that allow second copies, with that window for the keyed writes.
 fn second_copies(window: f64) -> Settings {
-    let mut settings = Settings { may_duplicate: true, ..settings() };
-    settings.classes[0].dedup_window = window;
+    let mut settings = Settings { hedging: true, ..settings() };
+    settings.classes[0].deduplication_window = window;
     settings
 }
 
@@ -429,7 +449,7 @@
     assert_eq!(sends_of(&d, "lost").len(), 2);
     d.answer("lost", "far", 1, Outcome::Error);
     d.pass(0.05);
-    d.answer("lost", "p", 0, Outcome::Reset);
+    d.answer("lost", "p", 0, Outcome::ConnectionReset);
     assert_eq!(sends_of(&d, "lost").len(), 2, "1.35 s after the first");
     assert_eq!(finals(&d.acts), 1);
 }
@@ -447,10 +467,10 @@
 
 #[test]
 fn a_draining_member_gets_nothing_new() {
-    for phase in [Phase::Leaving, Phase::Left] {
+    for status in [EndpointStatus::Draining, EndpointStatus::Removed] {
         let mut d = Drive::new(settings());
         d.freshen("r");
-        d.list(ListKind::Incremental, vec![Entry { phase, ..entry("r", 0, false) }]);
+        d.list(UpdateKind::Delta, vec![Endpoint { status, ..entry("r", 0, false) }]);
         for i in 0..20 {
             assert!(!sent(&d.ask(&format!("a{i}"), 3)).contains(&"r"));
         }
@@ -459,20 +479,20 @@
 
 #[test]
 fn where_gone_is_advice_only_leaving_binds() {
-    let advice = Settings { gone_is_advice: true, ..settings() };
+    let advice = Settings { removal_is_advisory: true, ..settings() };
     let mut d = Drive::new(advice.clone());
-    d.list(ListKind::Full, vec![entry("p", 0, true)]);
+    d.list(UpdateKind::Snapshot, vec![entry("p", 0, true)]);
     assert_eq!(sent(&d.ask("a", 3)), ["r"]);
     let mut d = Drive::new(advice);
-    d.list(ListKind::Incremental, vec![Entry { phase: Phase::Leaving, ..entry("r", 0, false) }]);
-    d.list(ListKind::Incremental, vec![Entry { phase: Phase::Left, ..entry("r", 0, false) }]);
+    d.list(UpdateKind::Delta, vec![Endpoint { status: EndpointStatus::Draining, ..entry("r", 0, false) }]);
+    d.list(UpdateKind::Delta, vec![Endpoint { status: EndpointStatus::Removed, ..entry("r", 0, false) }]);
     assert_ne!(sent(&d.ask("a", 3)), ["r"]);
 }
 
 #[test]
 fn a_cold_member_gets_a_small_share() {
     let mut d = Drive::new(settings());
-    d.list(ListKind::Incremental, vec![Entry { started_at: d.now, ..entry("r", 0, false) }]);
+    d.list(UpdateKind::Delta, vec![Endpoint { started_at: d.now, ..entry("r", 0, false) }]);
     let (mut cold, mut all) = (0, 0);
     for i in 0..200 {
         d.pass(0.01);
@@ -481,7 +501,7 @@
         if let Some(goal) = goal {
             all += 1;
             cold += usize::from(goal == "r");
-            d.answer(&format!("a{i}"), &goal, 0, Outcome::Ok);
+            d.answer(&format!("a{i}"), &goal, 0, Outcome::Success);
         }
     }
     assert!(all > 150 && cold > 0 && cold * 3 < all, "{cold} of {all}");
@@ -495,7 +515,7 @@
     for i in 0..30 {
         assert_eq!(sent(&d.ask(&format!("w{i}"), 0)).len(), 0, "held while the primary is down");
     }
-    let next = d.told("none", "r", 0, Outcome::Ok, Some(true), Some(d.now));
+    let next = d.told("none", "r", 0, Outcome::Success, Some(true), Some(d.now));
     let count = sent(&next).iter().filter(|m| **m == "r").count();
     assert!((1..=8).contains(&count), "{count}");
 }
@@ -504,7 +524,7 @@
 fn without_probes_one_write_scouts_for_the_primary() {
     let mut d = Drive::new(settings());
     d.ask("w0", 0);
-    d.told("w0", "p", 0, Outcome::Miss, Some(false), None);
+    d.told("w0", "p", 0, Outcome::Ineligible, Some(false), None);
     d.ask("w1", 0);
     let scouts = d.pass(0.15);
     assert_eq!(sent(&scouts).len(), 1);
@@ -512,14 +532,18 @@
 
 #[test]
 fn with_probes_the_members_are_asked_for_the_primary() {
-    let mut d = Drive::new(Settings { probes: true, ..settings() });
+    let mut d = Drive::new(Settings { health_checks: true, ..settings() });
     d.pass(0.3);
     for m in ["p", "r", "far"] {
-        d.feed(Event::Probed { member: m.into(), outcome: Outcome::Ok, report: Report::default() });
+        d.feed(Event::HealthChecked {
+            endpoint: m.into(),
+            outcome: Outcome::Success,
+            report: LoadReport::default(),
+        });
     }
     d.ask("w", 0);
     d.told("w", "p", 0, Outcome::ConnectFailed, None, None);
-    let probes = d.pass(0.3).iter().filter(|a| matches!(a, Action::Probe { .. })).count();
+    let probes = d.pass(0.3).iter().filter(|a| matches!(a, Action::HealthCheck { .. })).count();
     assert!(probes >= 3, "{probes}");
 }
 
@@ -545,16 +569,16 @@
     for i in 0..5 {
         let id = format!("bad{i}");
         assert_eq!(sent(&d.ask(&id, 0)), ["p"]);
-        d.feed(Event::Done(Done {
+        d.feed(Event::AttemptFinished(AttemptResult {
             id: id.as_str().into(),
-            member: "p".into(),
+            endpoint: "p".into(),
             attempt: 0,
-            outcome: Outcome::Rejected,
-            finished: true,
+            outcome: Outcome::InvalidRequest,
+            request_finished: true,
             elapsed: 0.001,
-            position: None,
+            log_position: None,
             primary: None,
-            report: Report::default(),
+            report: LoadReport::default(),
         }));
     }
     assert_eq!(sent(&d.ask("good", 0)), ["p"]);
@@ -588,9 +612,9 @@
         let id = format!("a{i}");
         let mut goal = sent(&d.ask(&id, 3)).first().map(|m| m.to_string());
         let mut attempt = 0;
-        while let Some(member) = goal {
+        while let Some(endpoint) = goal {
             sends += 1;
-            goal = sent(&d.answer(&id, &member, attempt, Outcome::Error)).first().map(|m| m.to_string());
+            goal = sent(&d.answer(&id, &endpoint, attempt, Outcome::Error)).first().map(|m| m.to_string());
             attempt += 1;
         }
     }
@@ -600,32 +624,32 @@
 #[test]
 fn a_refusal_comes_at_once_and_says_when_to_come_back() {
     let mut d = Drive::new(settings());
-    let next = d.feed(Event::arrival("x", 1, 77, 1.0));
-    assert!(next.iter().any(|a| matches!(a, Action::Refuse { backoff, .. } if *backoff > 0.0)));
+    let next = d.feed(Event::request("x", 1, 77, 1.0));
+    assert!(next.iter().any(|a| matches!(a, Action::Reject { retry_after, .. } if *retry_after > 0.0)));
 }
 
 #[test]
 fn a_lost_list_is_asked_for_again_and_the_old_one_holds() {
-    let mut d = Drive::new(Settings { subscribe: true, ..settings() });
-    assert!(d.pass(0.2).contains(&Action::Listen));
-    d.list(ListKind::Failed, vec![]);
+    let mut d = Drive::new(Settings { watch_endpoints: true, ..settings() });
+    assert!(d.pass(0.2).contains(&Action::Watch));
+    d.list(UpdateKind::WatchFailed, vec![]);
     assert_eq!(sent(&d.ask("w", 0)), ["p"]);
-    assert!(d.pass(5.0).contains(&Action::Listen));
+    assert!(d.pass(5.0).contains(&Action::Watch));
 }
 
 /// What discovery has to tell counts as told 6 s later: a host that drains meanwhile must not go unheard.
 #[test]
 fn a_list_that_fails_again_and_again_is_asked_for_every_second() {
     // However long the settings let a pooler go without asking.
-    for ask_within in [2.0, 10.0, 60.0] {
-        let mut d = Drive::new(Settings { subscribe: true, ask_within, ..settings() });
-        let listens = |acts: &[Action]| acts.iter().filter(|a| **a == Action::Listen).count();
+    for max_watch_gap in [2.0, 10.0, 60.0] {
+        let mut d = Drive::new(Settings { watch_endpoints: true, max_watch_gap, ..settings() });
+        let listens = |acts: &[Action]| acts.iter().filter(|a| **a == Action::Watch).count();
         for _ in 0..10 {
-            d.list(ListKind::Failed, Vec::new());
-            assert_eq!(listens(&d.pass(1.2)), 1, "{ask_within}");
+            d.list(UpdateKind::WatchFailed, Vec::new());
+            assert_eq!(listens(&d.pass(1.2)), 1, "{max_watch_gap}");
         }
         // A call that is being answered has its time: an empty line may take 2 s.
-        assert_eq!(listens(&d.pass(2.0)), 0, "{ask_within}");
+        assert_eq!(listens(&d.pass(2.0)), 0, "{max_watch_gap}");
         assert_eq!(listens(&d.pass(2.2)), 1, "one without any answer is made again");
     }
 }
@@ -646,21 +670,21 @@
 #[test]
 fn odd_but_legal_events_do_no_harm() {
     let mut d = Drive::new(settings());
-    d.feed(Event::arrival("zero", 0, 0, 0.0));
-    d.feed(Event::arrival("below", 1, 0, -1.0));
-    d.feed(Event::arrival("class", 99, 0, 1.0));
-    d.answer("unknown", "nobody", 5, Outcome::Ok);
+    d.feed(Event::request("zero", 0, 0, 0.0));
+    d.feed(Event::request("below", 1, 0, -1.0));
+    d.feed(Event::request("class", 99, 0, 1.0));
+    d.answer("unknown", "nobody", 5, Outcome::Success);
     d.answer("zero", "p", 9, Outcome::Timeout);
-    d.list(ListKind::Full, vec![]);
+    d.list(UpdateKind::Snapshot, vec![]);
     d.ask("none", 0);
-    d.list(ListKind::Full, vec![entry("p", 0, true), entry("r", 1, true)]);
+    d.list(UpdateKind::Snapshot, vec![entry("p", 0, true), entry("r", 1, true)]);
     d.ask("two", 0);
     d.feed(Event::Timer { cookie: 12345 });
     d.pass(3.0);
     assert_eq!(finals(&d.acts), 5);
 }
 
-/// Incident ice9193: broken connections everywhere made every member count as cold, and all was refused.
+/// Incident ice9193: broken connections everywhere made every endpoint count as cold, and all was refused.
 #[test]
 fn broken_connections_do_not_make_a_member_cold() {
     let mut d = Drive::new(settings());
@@ -669,17 +693,17 @@
         let id = format!("a{i}");
         let goal = d.ask(&id, 3);
         if let Some(goal) = sent(&goal).first().map(|m| m.to_string()) {
-            d.answer(&id, &goal, 0, Outcome::Reset);
+            d.answer(&id, &goal, 0, Outcome::ConnectionReset);
         }
     }
     d.pass(4.0);
     d.ask("trial", 3);
-    d.answer("trial", "r", 0, Outcome::Ok);
+    d.answer("trial", "r", 0, Outcome::Success);
     let goals: Vec<_> = (0..3).map(|i| sent(&d.ask(&format!("b{i}"), 3)).join("")).collect();
     assert_eq!(goals, ["r", "r", "r"]);
 }
 
-/// Incident i18a21c: without a primary all positions stand still; asking every member in turn only adds work.
+/// Incident i18a21c: without a primary all positions stand still; asking every endpoint in turn only adds work.
 #[test]
 fn members_known_to_be_behind_are_not_asked_in_turn() {
     let mut d = Drive::new(settings());
@@ -694,9 +718,9 @@
         let id = format!("b{i}");
         let mut goal = sent(&d.ask(&id, 1)).first().map(|m| m.to_string());
         let mut attempt = 0;
-        while let Some(member) = goal {
+        while let Some(endpoint) = goal {
             let position = Some(d.now - 3.0);
-            let next = d.told(&id, &member, attempt, Outcome::Miss, Some(false), position);
+            let next = d.told(&id, &endpoint, attempt, Outcome::Ineligible, Some(false), position);
             goal = sent(&next).first().map(|m| m.to_string());
             attempt += 1;
         }
@@ -712,16 +736,16 @@
         d.freshen("r");
         let id = format!("a{i}");
         let goal = sent(&d.ask(&id, 3))[0].to_string();
-        d.feed(Event::Done(Done {
+        d.feed(Event::AttemptFinished(AttemptResult {
             id: id.as_str().into(),
-            member: goal.as_str().into(),
+            endpoint: goal.as_str().into(),
             attempt: 0,
-            outcome: Outcome::Ok,
-            finished: true,
+            outcome: Outcome::Success,
+            request_finished: true,
             elapsed: 3.0,
-            position: None,
+            log_position: None,
             primary: None,
-            report: Report::default(),
+            report: LoadReport::default(),
         }));
     }
 }
@@ -740,7 +764,7 @@
 #[test]
 fn long_any_reads_go_on_to_the_next_most_behind() {
     let mut d = Drive::new(settings());
-    d.list(ListKind::Incremental, vec![entry("mid", 1, false), entry("calm", 1, false)]);
+    d.list(UpdateKind::Delta, vec![entry("mid", 1, false), entry("calm", 1, false)]);
     d.freshen("mid");
     d.pass(1.0);
     d.freshen("calm");
@@ -753,8 +777,8 @@
 /// all are asked, or long reads would hold up the log of every one.
 #[test]
 fn a_long_any_read_passes_on_to_one_more_replica_that_has_time() {
-    let mut d = Drive::new(Settings { fleet_size: 8, ..settings() });
-    d.list(ListKind::Incremental, vec![entry("mid", 1, false), entry("calm", 1, false)]);
+    let mut d = Drive::new(Settings { pooler_count: 8, ..settings() });
+    d.list(UpdateKind::Delta, vec![entry("mid", 1, false), entry("calm", 1, false)]);
     d.freshen("mid");
     d.pass(1.0);
     d.freshen("calm");
@@ -765,27 +789,27 @@
     assert_eq!(finals(&d.ask("b3", 3)), 1, "the calm replica is left to the reads that need it");
 }
 
-/// Incident ife869a: a large fleet that lets a little through at each proxy jams a member together.
+/// Incident ife869a: a large fleet that lets a little through at each proxy jams a endpoint together.
 #[test]
 fn what_is_let_through_in_any_case_shrinks_with_the_fleet() {
-    let admitted = |fleet_size: u32| {
-        let mut d = Drive::new(Settings { fleet_size, ..settings() });
-        d.list(ListKind::Full, vec![entry("p", 0, true)]);
+    let admitted = |pooler_count: u32| {
+        let mut d = Drive::new(Settings { pooler_count, ..settings() });
+        d.list(UpdateKind::Snapshot, vec![entry("p", 0, true)]);
         // Answers near the deadline: nothing can be expected in time.
         for i in 0..60 {
             d.pass(2.5);
             let id = format!("slow{i}");
             d.ask(&id, 0);
-            d.feed(Event::Done(Done {
+            d.feed(Event::AttemptFinished(AttemptResult {
                 id: id.as_str().into(),
-                member: "p".into(),
+                endpoint: "p".into(),
                 attempt: 0,
-                outcome: Outcome::Ok,
-                finished: true,
+                outcome: Outcome::Success,
+                request_finished: true,
                 elapsed: 1.7,
-                position: None,
+                log_position: None,
                 primary: Some(true),
-                report: Report::default(),
+                report: LoadReport::default(),
             }));
         }
         let from = d.acts.len();
@@ -799,7 +823,7 @@
     assert!(small >= 3 && large <= 2, "{small} at two proxies, {large} at sixteen");
 }
 
-/// Incident i506d06: members that hang without a word; each of many proxies has few requests there.
+/// Incident i506d06: endpoints that hang without a word; each of many proxies has few requests there.
 #[test]
 fn one_request_left_without_a_word_ejects_its_member() {
     let mut d = Drive::new(settings());
@@ -808,7 +832,7 @@
         let id = format!("a{i}");
         let goal = sent(&d.ask(&id, 3))[0].to_string();
         d.pass(0.05);
-        d.answer(&id, &goal, 0, Outcome::Ok);
+        d.answer(&id, &goal, 0, Outcome::Success);
     }
     d.pass(0.01);
     assert_eq!(sent(&d.ask("hangs", 3)), ["r"]);
@@ -825,7 +849,7 @@
         for i in 0..40 {
             d.ask(&format!("w{i}"), 0);
             d.pass(0.05);
-            d.told(&format!("w{i}"), "p", 0, Outcome::Ok, Some(true), None);
+            d.told(&format!("w{i}"), "p", 0, Outcome::Success, Some(true), None);
         }
         d.pass(0.01);
         d
@@ -839,43 +863,43 @@
     d.ask("1", 0);
     for (attempt, goals) in [(0, vec!["p"]), (1, vec![])] {
         d.now += 0.25;
-        let done = Done {
+        let done = AttemptResult {
             id: "1".into(),
-            member: "p".into(),
+            endpoint: "p".into(),
             attempt,
             outcome: Outcome::ConnectFailed,
-            finished: false,
+            request_finished: false,
             elapsed: 0.25,
-            position: None,
+            log_position: None,
             primary: None,
-            report: Report::default(),
+            report: LoadReport::default(),
         };
-        assert_eq!(sent(&d.feed(Event::Done(done))), goals, "{attempt}");
+        assert_eq!(sent(&d.feed(Event::AttemptFinished(done))), goals, "{attempt}");
     }
 }
 
-/// Links break too: a member that goes on answering keeps its work, one that stops answering does not.
+/// Links break too: a endpoint that goes on answering keeps its work, one that stops answering does not.
 #[test]
 fn broken_connections_to_a_member_that_answers_do_not_eject_it() {
-    for (broken, tolerated) in [(Outcome::Reset, 3), (Outcome::ConnectFailed, 1)] {
+    for (broken, tolerated) in [(Outcome::ConnectionReset, 3), (Outcome::ConnectFailed, 1)] {
         let mut d = Drive::new(settings());
         d.ask("w", 0);
-        d.told("w", "p", 0, Outcome::Ok, Some(true), None);
+        d.told("w", "p", 0, Outcome::Success, Some(true), None);
         for i in 0..=tolerated {
             let id = format!("{i}");
             assert_eq!(sent(&d.ask(&id, 0)), ["p"], "{broken:?} {id}");
-            d.feed(Event::Gone { id: id.as_str().into() });
+            d.feed(Event::ClientDisconnected { id: id.as_str().into() });
             d.told(&id, "p", 0, broken, None, None);
         }
         assert_eq!(sent(&d.ask("held", 0)), [""; 0], "{broken:?}");
     }
 }
 
-/// Incident if72e0f: a member that turns work away as full is done with it at once and looks idle.
+/// Incident if72e0f: a endpoint that turns work away as full is done with it at once and looks idle.
 #[test]
 fn a_full_member_counts_as_loaded() {
     let mut d = Drive::new(settings());
-    d.list(ListKind::Incremental, vec![entry("r2", 0, false)]);
+    d.list(UpdateKind::Delta, vec![entry("r2", 0, false)]);
     d.freshen("r");
     d.freshen("r2");
     let mut to_r = 0;
@@ -884,10 +908,10 @@
         let goal = sent(&d.ask(&id, 1)).join("");
         if goal == "r" {
             to_r += 1;
-            let next = sent(&d.answer(&id, "r", 0, Outcome::Full)).join("");
-            d.answer(&id, &next, 1, Outcome::Ok);
+            let next = sent(&d.answer(&id, "r", 0, Outcome::Overloaded)).join("");
+            d.answer(&id, &next, 1, Outcome::Success);
         } else {
-            d.answer(&id, &goal, 0, Outcome::Ok);
+            d.answer(&id, &goal, 0, Outcome::Success);
         }
     }
     assert!(to_r <= 3, "{to_r} of 20 went to the full member");
@@ -898,45 +922,45 @@
 fn a_crowd_of_proxies_keeps_to_a_cold_members_share_together() {
     let mut cold = 0;
     for seed in 0..200 {
-        let mut d = Drive::new(Settings { fleet_size: 200, ..settings() });
-        d.policy = Policy::new(Settings { fleet_size: 200, ..settings() }, seed).unwrap();
-        let fresh = Entry { started_at: d.now, ..entry("r", 0, false) };
-        d.list(ListKind::Saved, vec![entry("p", 0, true), fresh, entry("far", 1, false)]);
+        let mut d = Drive::new(Settings { pooler_count: 200, ..settings() });
+        d.policy = Policy::new(Settings { pooler_count: 200, ..settings() }, seed).unwrap();
+        let fresh = Endpoint { started_at: d.now, ..entry("r", 0, false) };
+        d.list(UpdateKind::Cached, vec![entry("p", 0, true), fresh, entry("far", 1, false)]);
         cold += usize::from(sent(&d.ask("first", 3)) == ["r"]);
     }
     assert!((10..=70).contains(&cold), "{cold} of 200 first reads, at a fifth of the capacity");
 }
 
-/// A cold member that is the only replica at home of all proxies gets, from all of them together and within the time
+/// A cold endpoint that is the only replica at home of all proxies gets, from all of them together and within the time
 /// that the settings name, no more than N requests of mean work and what chance adds to that. A few proxies have most
 /// of the traffic; one read in ten may take four times as long as the others.
 #[rstest]
 fn a_whole_fleet_keeps_to_what_a_cold_member_bears(
-    #[values(20, 300)] fleet_size: u32,
-    #[values(1.5, 2.0, 4.0)] tip_multiple: f64,
+    #[values(20, 300)] pooler_count: u32,
+    #[values(1.5, 2.0, 4.0)] overload_limit: f64,
     #[values(false, true)] long_reads: bool,
     #[values(1, 2, 3)] seed: u64,
 ) {
     const RATE: f64 = 240.0;
     const SECONDS: f64 = 6.0;
-    let settings = Settings { fleet_size, tip_multiple, ..settings() };
+    let settings = Settings { pooler_count, overload_limit, ..settings() };
     let start = |number: u32| {
         let mut d = Drive::new(settings.clone());
         d.policy = Policy::new(settings.clone(), seed << 32 | u64::from(number)).unwrap();
-        let cold = Entry { started_at: d.now, ..entry("r", 0, false) };
-        let far = ["a", "b", "c", "d"].map(|member| entry(member, 1, false));
-        d.list(ListKind::Saved, [vec![entry("p", 0, true), cold], far.to_vec()].concat());
+        let cold = Endpoint { started_at: d.now, ..entry("r", 0, false) };
+        let far = ["a", "b", "c", "d"].map(|endpoint| entry(endpoint, 1, false));
+        d.list(UpdateKind::Cached, [vec![entry("p", 0, true), cold], far.to_vec()].concat());
         d
     };
-    let mut fleet: Vec<Drive> = (0..fleet_size).map(start).collect();
+    let mut fleet: Vec<Drive> = (0..pooler_count).map(start).collect();
     let started = fleet[0].now;
     let mut rng = fastrand::Rng::with_seed(seed);
     let (mut at_cold, mut work) = (Vec::new(), 0.0);
     for i in 0..(SECONDS * RATE) as usize {
         let now = started + i as f64 / RATE;
-        let d = &mut fleet[(rng.f64().powi(3) * f64::from(fleet_size)) as usize];
+        let d = &mut fleet[(rng.f64().powi(3) * f64::from(pooler_count)) as usize];
         d.now = now;
-        ["r", "a", "b", "c", "d"].into_iter().for_each(|member| d.freshen(member));
+        ["r", "a", "b", "c", "d"].into_iter().for_each(|endpoint| d.freshen(endpoint));
         let (class, takes) = if long_reads && i % 10 == 0 { (3, 4.0) } else { (1, 1.0) };
         work += takes;
         let id = format!("q{i}");
@@ -944,51 +968,56 @@
         if goal == "r" {
             at_cold.push((now, takes));
         }
-        d.feed(Event::Done(Done {
+        d.feed(Event::AttemptFinished(AttemptResult {
             id: id.as_str().into(),
-            member: goal.as_str().into(),
+            endpoint: goal.as_str().into(),
             attempt: 0,
-            outcome: Outcome::Ok,
-            finished: true,
+            outcome: Outcome::Success,
+            request_finished: true,
             elapsed: 0.05 * takes,
-            position: Some(now),
+            log_position: Some(now),
             primary: Some(goal == "p"),
-            report: Report::default(),
+            report: LoadReport::default(),
         }));
     }
     assert!(at_cold.len() > 10, "it gets some: {}", at_cold.len());
-    // Six members bear the load, which is four fifths of what they could.
+    // Six endpoints bear the load, which is four fifths of what they could.
     let (mean, capacity) = (work / (SECONDS * RATE), RATE / 6.0 / 0.8);
     for (first, (begin, _)) in at_cold.iter().enumerate() {
-        let window = at_cold[first..].iter().take_while(|(at, _)| *at <= begin + settings.fall);
+        let window = at_cold[first..].iter().take_while(|(at, _)| *at <= begin + settings.overload_window);
         let got = window.map(|(_, takes)| takes).sum::<f64>() / mean;
-        let warmth = settings.cold_from + (1.0 - settings.cold_from) * (begin - started) / settings.warm_up;
-        let bears = tip_multiple * warmth * capacity * settings.fall;
+        let warmth = settings.initial_capacity
+            + (1.0 - settings.initial_capacity) * (begin - started) / settings.slow_start_window;
+        let bears = overload_limit * warmth * capacity * settings.overload_window;
         assert!(got <= bears + 2.0 * bears.sqrt() + 2.0, "{got} where it bears {bears}, at {begin}");
     }
 }
 
-/// Incident if92ddc: every proxy asked every member again and again, and took a full answer for illness.
+/// Incident if92ddc: every proxy asked every endpoint again and again, and took a full answer for illness.
 #[test]
 fn probes_are_an_allowance_that_requests_earn() {
-    let mut d = Drive::new(Settings { probes: true, ..settings() });
-    let probes = |acts: &[Action]| acts.iter().filter(|a| matches!(a, Action::Probe { .. })).count();
+    let mut d = Drive::new(Settings { health_checks: true, ..settings() });
+    let probes = |acts: &[Action]| acts.iter().filter(|a| matches!(a, Action::HealthCheck { .. })).count();
     d.pass(5.0);
     assert_eq!(probes(&d.acts), 0, "nobody asks for anything");
     d.ask("w", 0);
-    d.told("w", "p", 0, Outcome::Miss, Some(false), None);
+    d.told("w", "p", 0, Outcome::Ineligible, Some(false), None);
     d.ask("w2", 0);
     for _ in 0..40 {
         for action in d.pass(0.2) {
-            if let Action::Probe { member } = action {
-                d.feed(Event::Probed { member, outcome: Outcome::Full, report: Report::default() });
+            if let Action::HealthCheck { endpoint } = action {
+                d.feed(Event::HealthChecked {
+                    endpoint,
+                    outcome: Outcome::Overloaded,
+                    report: LoadReport::default(),
+                });
             }
         }
         d.ask("more", 0);
     }
     let asked = probes(&d.acts);
     assert!((3..=40).contains(&asked), "{asked}");
-    assert!(!d.acts.iter().any(|a| matches!(a, Action::Log(text) if text.contains("suspected"))));
+    assert!(!d.acts.iter().any(|a| matches!(a, Action::Log(StateChange::Ejected(_)))));
 }
 
 /// Day big-2 of cairo-booking-later: a primary back cold, not primary any more, got each held write up to eight times.
@@ -998,12 +1027,12 @@
     d.freshen("r");
     d.freshen("far");
     d.ask("w", 0);
-    d.told("w", "p", 0, Outcome::Miss, Some(false), None);
+    d.told("w", "p", 0, Outcome::Ineligible, Some(false), None);
     let mut asked = Vec::new();
     for attempt in 1..6 {
         let goal = sent(&d.pass(0.4)).first().map(|m| m.to_string());
         if let Some(goal) = goal {
-            d.told("w", &goal, attempt, Outcome::Miss, Some(false), None);
+            d.told("w", &goal, attempt, Outcome::Ineligible, Some(false), None);
             asked.push(goal);
         }
     }
@@ -1016,31 +1045,31 @@
 fn a_full_primary_is_not_asked_again_at_once() {
     let mut d = Drive::new(settings());
     d.ask("w", 0);
-    let next = d.answer("w", "p", 0, Outcome::Full);
+    let next = d.answer("w", "p", 0, Outcome::Overloaded);
     assert_eq!((sent(&next).len(), finals(&next)), (0, 1));
-    assert!(next.iter().any(|a| matches!(a, Action::Refuse { backoff, .. } if *backoff > 0.0)));
+    assert!(next.iter().any(|a| matches!(a, Action::Reject { retry_after, .. } if *retry_after > 0.0)));
 }
 
-/// Overload of cairo-booking-later: of two classes worth the same, the one that holds members longer gives way.
+/// Overload of cairo-booking-later: of two classes worth the same, the one that holds endpoints longer gives way.
 #[test]
 fn under_load_the_class_that_takes_longer_gives_way_first() {
-    let mut d = Drive::new(Settings { fleet_size: 16, ..settings() });
-    d.list(ListKind::Full, vec![entry("p", 0, true)]);
+    let mut d = Drive::new(Settings { pooler_count: 16, ..settings() });
+    d.list(UpdateKind::Snapshot, vec![entry("p", 0, true)]);
     let (long, quick) = (0, 4);
     for i in 0..80 {
         d.pass(2.5);
         let (id, class) = (format!("a{i}"), if i % 2 == 0 { long } else { quick });
         assert_eq!(sent(&d.ask(&id, class)), ["p"]);
-        d.feed(Event::Done(Done {
+        d.feed(Event::AttemptFinished(AttemptResult {
             id: id.as_str().into(),
-            member: "p".into(),
+            endpoint: "p".into(),
             attempt: 0,
-            outcome: Outcome::Ok,
-            finished: true,
+            outcome: Outcome::Success,
+            request_finished: true,
             elapsed: if class == long { 0.32 } else { 0.05 },
-            position: None,
+            log_position: None,
             primary: Some(true),
-            report: Report::default(),
+            report: LoadReport::default(),
         }));
     }
     assert_eq!(sent(&d.ask("long", long)).len(), 0);
@@ -1058,14 +1087,14 @@
     type Change = fn(&mut Settings);
     let cases: [(Change, &str); 9] = [
         (|s| s.classes.clear(), "classes"),
-        (|s| s.fleet_size = 0, "fleet_size"),
-        (|s| s.max_attempts = 0, "max_attempts"),
-        (|s| s.connect_timeout = f64::NAN, "connect_timeout"),
-        (|s| s.warm_up = f64::INFINITY, "warm_up"),
-        (|s| s.cold_from = 0.0, "cold_from"),
-        (|s| s.tip_multiple = -1.0, "tip_multiple"),
-        (|s| s.tenant_quota = vec![-1.0], "tenant_quota[0]"),
-        (|s| s.classes[2].late_worth = 1.5, "classes[2].late_worth"),
+        (|s| s.pooler_count = 0, "fleetSize"),
+        (|s| s.max_attempts = 0, "limits.maxAttempts"),
+        (|s| s.connect_timeout = f64::NAN, "limits.connectTimeout"),
+        (|s| s.slow_start_window = f64::INFINITY, "invariants.warmUp"),
+        (|s| s.initial_capacity = 0.0, "invariants.coldFrom"),
+        (|s| s.overload_limit = -1.0, "invariants.tipMultiple"),
+        (|s| s.tenant_quota = vec![-1.0], "customers[0].quotaPerS"),
+        (|s| s.classes[2].late_weight = 1.5, "classes[2].lateWorth"),
     ];
     for (change, field) in cases {
         assert_eq!(refused(change).as_deref(), Some(field));
@@ -1078,25 +1107,29 @@
     let mut d = Drive::new(settings());
     for i in 0..2000 {
         let (new, old) = (format!("n{i}"), format!("n{}", i - 1));
-        let gone = Entry { phase: Phase::Left, ..entry(&old, 0, false) };
-        d.list(ListKind::Incremental, vec![entry(&new, 0, false), gone]);
+        let gone = Endpoint { status: EndpointStatus::Removed, ..entry(&old, 0, false) };
+        d.list(UpdateKind::Delta, vec![entry(&new, 0, false), gone]);
         d.freshen(&new);
         d.pass(0.5);
     }
-    assert!(d.policy.members_known() <= 80, "{}", d.policy.members_known());
+    assert!(d.policy.endpoints_known() <= 80, "{}", d.policy.endpoints_known());
     d.freshen("n1999");
     assert_ne!(sent(&d.ask("a", 3)).len(), 0);
-    d.list(ListKind::Incremental, vec![Entry { phase: Phase::Left, ..entry("n3", 0, false) }]);
-    assert!(d.policy.members_known() <= 80);
+    d.list(UpdateKind::Delta, vec![Endpoint { status: EndpointStatus::Removed, ..entry("n3", 0, false) }]);
+    assert!(d.policy.endpoints_known() <= 80);
 }
 
-/// Groups that come and go with their members are forgotten with them.
+/// Groups that come and go with their endpoints are forgotten with them.
 #[test]
 fn groups_whose_members_left_are_forgotten_in_time() {
     let mut d = Drive::new(settings());
     for group in 1..500 {
-        let member = |group: u32, phase| Entry { group, phase, ..entry(&format!("n{group}"), 0, false) };
-        d.list(ListKind::Incremental, vec![member(group, Phase::Active), member(group - 1, Phase::Left)]);
+        let endpoint =
+            |group: u32, status| Endpoint { group, status, ..entry(&format!("n{group}"), 0, false) };
+        d.list(
+            UpdateKind::Delta,
+            vec![endpoint(group, EndpointStatus::Serving), endpoint(group - 1, EndpointStatus::Removed)],
+        );
         d.pass(0.5);
     }
     assert!(d.policy.groups_known() <= 80, "{}", d.policy.groups_known());
@@ -1105,9 +1138,13 @@
 /// Where writes are remembered, a proxy that has just started knows of none: its sessions may have written.
 #[test]
 fn after_a_restart_an_unknown_session_reads_what_is_as_new_as_the_start() {
-    let mut d = Drive::new(Settings { when_behind: WhenBehind::Silent, tokens_carried: false, ..settings() });
-    let report = Report { position: Some(d.now - 0.3), primary: Some(false) };
-    d.feed(Event::Probed { member: "r".into(), outcome: Outcome::Ok, report });
+    let mut d = Drive::new(Settings {
+        stale_reads: StaleReadHandling::Serve,
+        session_tokens_carried: false,
+        ..settings()
+    });
+    let report = LoadReport { log_position: Some(d.now - 0.3), primary: Some(false) };
+    d.feed(Event::HealthChecked { endpoint: "r".into(), outcome: Outcome::Success, report });
     assert_eq!(sent(&d.feed(of_session("early", 2))), ["p"]);
     d.freshen("r");
     assert_eq!(sent(&d.feed(of_session("later", 2))), ["r"]);
@@ -1117,7 +1154,11 @@
 /// followed was answered by a replica without it.
 #[test]
 fn a_write_that_may_have_run_binds_the_sessions_reads() {
-    let mut d = Drive::new(Settings { when_behind: WhenBehind::Silent, tokens_carried: false, ..settings() });
+    let mut d = Drive::new(Settings {
+        stale_reads: StaleReadHandling::Serve,
+        session_tokens_carried: false,
+        ..settings()
+    });
     d.freshen("r");
     assert_eq!(sent(&d.feed(of_session("before", 2))), ["r"]);
     // Of a class that is not repeated.
@@ -1126,7 +1167,7 @@
     d.freshen("r");
     d.now += 0.1;
     assert_eq!(sent(&d.feed(of_session("while it is out", 2))), ["p"]);
-    d.told("w", "p", 0, Outcome::Reset, None, None);
+    d.told("w", "p", 0, Outcome::ConnectionReset, None, None);
     d.now += 0.1;
     assert_eq!(sent(&d.feed(of_session("the replica is older than the loss", 2))), ["p"]);
     d.freshen("r");
@@ -1136,47 +1177,48 @@
 /// At a hundred proxies a tenant's part is under one request a second: it is still within its share.
 #[test]
 fn a_small_part_of_a_share_is_not_over_share() {
-    let few = Settings { fleet_size: 100, tenant_quota: vec![40.0], over_share_worth: 0.0, ..settings() };
+    let few = Settings { pooler_count: 100, tenant_quota: vec![40.0], over_quota_weight: 0.0, ..settings() };
     let mut d = Drive::new(few);
-    d.list(ListKind::Full, vec![entry("p", 0, true)]);
+    d.list(UpdateKind::Snapshot, vec![entry("p", 0, true)]);
     for i in 0..60 {
         d.pass(2.6);
         let id = format!("w{i}");
         assert_eq!(sent(&d.ask(&id, 0)), ["p"], "request {i}");
-        d.feed(Event::Done(Done {
+        d.feed(Event::AttemptFinished(AttemptResult {
             id: id.as_str().into(),
-            member: "p".into(),
+            endpoint: "p".into(),
             attempt: 0,
-            outcome: Outcome::Ok,
-            finished: true,
+            outcome: Outcome::Success,
+            request_finished: true,
             elapsed: 0.235,
-            position: None,
+            log_position: None,
             primary: Some(true),
-            report: Report::default(),
+            report: LoadReport::default(),
         }));
     }
     d.ask("one", 0);
-    d.answer("one", "p", 0, Outcome::Full);
+    d.answer("one", "p", 0, Outcome::Overloaded);
     assert_eq!(sent(&d.ask("two", 0)).len(), 0, "what is beyond it gives way");
 }
 
-/// Incident ib6439d: idle connections of 1367 proxies filled every member's table, and all refused new ones.
+/// Incident ib6439d: idle connections of 1367 proxies filled every endpoint's table, and all refused new ones.
 #[test]
 fn a_crowd_that_is_refused_connections_holds_none_idle() {
-    let let_go = |fleet_size: u32| {
-        let mut d = Drive::new(Settings { fleet_size, ..settings() });
+    let let_go = |pooler_count: u32| {
+        let mut d = Drive::new(Settings { pooler_count, ..settings() });
         d.freshen("r");
         d.freshen("far");
         d.ask("a", 3);
         let next = d.answer("a", "r", 0, Outcome::ConnectFailed);
         assert_eq!(sent(&next), ["far"]);
-        d.answer("a", "far", 1, Outcome::Ok).contains(&Action::LetGo { member: "far".into() })
+        d.answer("a", "far", 1, Outcome::Success)
+            .contains(&Action::CloseIdleConnections { endpoint: "far".into() })
     };
     assert!(let_go(1000));
     assert!(!let_go(20), "a small fleet keeps what is open: a new connection can be slow");
 }
 
-/// Guards against holding on to a request that no member has got until its client has no time left.
+/// Guards against holding on to a request that no endpoint has got until its client has no time left.
 #[test]
 fn what_reached_no_member_is_given_up_at_half_its_time() {
     let mut d = Drive::new(settings());
@@ -1188,11 +1230,12 @@
     assert_eq!(sent(&d.ask("w", 0)), [] as [&str; 0]);
     assert_eq!(finals(&d.pass(0.85)), 0, "half of 1.8 s has not gone");
     let over = d.pass(0.1);
-    let refused = |a: &Action| matches!(a, Action::Refuse { id, backoff } if &**id == "w" && *backoff > 0.0);
+    let refused =
+        |a: &Action| matches!(a, Action::Reject { id, retry_after } if &**id == "w" && *retry_after > 0.0);
     assert!(over.iter().any(refused), "{over:?}");
 }
 
-/// Guards the other way: what a member has got is not given up before its time.
+/// Guards the other way: what a endpoint has got is not given up before its time.
 #[test]
 fn what_reached_a_member_keeps_all_its_time() {
     let mut d = Drive::new(settings());
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -1,12 +1,55 @@
-//! The module's engineers read all of it: its size and width are limited.
+//! The engineers who run the pooler read all of its decisions: their size and width are limited.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// Most non-blank lines that the decisions may have together.
+const MAX_LINES: usize = 950;
+/// Longest line (characters).
+const MAX_WIDTH: usize = 110;
+
+fn root() -> &'static Path {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+}
+
+/// The files that `policy` in the deploy file names.
+fn policy_files() -> Vec<PathBuf> {
+    let deploy = fs::read_to_string(root().join("deploy/balancer.toml")).expect("the deploy file is there");
+    let (_, rest) = deploy.split_once("policy = [").expect("the deploy file names the policy");
+    let (names, _) = rest.split_once(']').expect("the list ends");
+    names
+        .split(',')
+        .map(|name| name.trim().trim_matches('"'))
+        .filter(|n| !n.is_empty())
+        .map(PathBuf::from)
+        .collect()
+}
 
 #[test]
-fn policy_stays_within_its_size() {
-    let text = include_str!("../src/policy.rs");
-    let lines = text.lines().filter(|line| !line.trim().is_empty()).count();
-    assert!(lines <= 950, "src/policy.rs has {lines} non-blank lines");
-    for (number, line) in text.lines().enumerate() {
-        assert!(line.chars().count() <= 110, "line {} is too wide", number + 1);
+fn the_policy_stays_within_its_size() {
+    let mut lines = 0;
+    for file in policy_files() {
+        let text = fs::read_to_string(root().join(&file)).expect("each file of the policy is there");
+        lines += text.lines().filter(|line| !line.trim().is_empty()).count();
+        for (number, line) in text.lines().enumerate() {
+            assert!(line.chars().count() <= MAX_WIDTH, "{}:{} is too wide", file.display(), number + 1);
+        }
     }
-    assert!(text.lines().take(3).any(|line| line.contains("src/interface.rs")));
+    assert!(lines <= MAX_LINES, "the policy has {lines} non-blank lines");
+}
+
+#[test]
+fn the_deploy_file_names_every_file_of_the_policy() {
+    let named = policy_files();
+    let folder = fs::read_dir(root().join("src/policy")).expect("the folder of the policy is there");
+    for entry in folder {
+        let file = Path::new("src/policy").join(entry.expect("it can be listed").file_name());
+        assert!(named.contains(&file), "{} is not named", file.display());
+    }
+}
+
+#[test]
+fn the_policy_says_where_its_interface_is() {
+    let text = fs::read_to_string(root().join("src/policy/mod.rs")).expect("the policy is there");
+    assert!(text.lines().take(3).any(|line| line.contains("src/interface")));
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -64,7 +64,7 @@
     assert!(client.answer()[1].1.ends_with(b"second"));
     assert!(pooler
         .counters()
-        .contains("taken=2 malformed=0 served=2 refused=0 failed=0 gone=0 overdue=0 rested=0 connected=1"));
+        .contains("requests_received=2 malformed=0 served=2 rejected=0 failed=0 client_disconnects=0 client_timeouts=0 idle_closed=0 backend_connects=1"));
 }
 
 #[test]
@@ -102,7 +102,7 @@
     assert_eq!(client.error().0, code);
     // The connection goes on, and the first thing that the machine gets is the next query.
     warm(&db, &mut client);
-    assert!(pooler.counters().contains("taken=1 malformed=1"));
+    assert!(pooler.counters().contains("requests_received=1 malformed=1"));
 }
 
 #[rstest]
@@ -173,8 +173,8 @@
     client.0.set_nonblocking(false).unwrap();
     let (mut watch, line) = discovery.call();
     assert_eq!(line, "GET /catalog/members?follow=1&since=0 HTTP/1.1");
-    let news = list(1, true, &[db.line("s-1", "here")]) + "\n";
-    watch.write_all(&[HEAD.as_bytes(), &chunks([news.as_bytes()])].concat()).unwrap();
+    let endpoint_list = list(1, true, &[db.line("s-1", "here")]) + "\n";
+    watch.write_all(&[HEAD.as_bytes(), &chunks([endpoint_list.as_bytes()])].concat()).unwrap();
     assert_eq!(client.answer(), [(b'I', vec![])]);
 }
 
@@ -192,7 +192,9 @@
     client.send(&query(&ask("2", "reports")).repeat(behind));
     drop(client);
     wire.ends();
-    assert!(pooler.counters().contains(" gone=1 overdue=0 rested=0 connected=1 sent=1 ok=0"));
+    assert!(pooler.counters().contains(
+        " client_disconnects=1 client_timeouts=0 idle_closed=0 backend_connects=1 attempts_sent=1 success=0"
+    ));
 }
 
 #[rstest]
@@ -239,7 +241,7 @@
     } else {
         drop(held);
     }
-    while !pooler.counters().contains(" gone=1 ") {}
+    while !pooler.counters().contains(" client_disconnects=1 ") {}
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64();
     wire.send(&served(format!("x0={now:.3},x1=0").as_bytes(), "reader"));
     let mut other = client(&pooler);
@@ -250,10 +252,10 @@
 }
 
 #[rstest]
-#[case::refused(0, "connect_failed=1 reset=0")]
-#[case::during_startup(1, "connect_failed=1 reset=0")]
-#[case::after_the_last_byte(2, "connect_failed=0 reset=1")]
-#[case::in_the_midst_of_the_answer(3, "connect_failed=0 reset=1")]
+#[case::refused(0, "connect_failed=1 connection_reset=0")]
+#[case::during_startup(1, "connect_failed=1 connection_reset=0")]
+#[case::after_the_last_byte(2, "connect_failed=0 connection_reset=1")]
+#[case::in_the_midst_of_the_answer(3, "connect_failed=0 connection_reset=1")]
 fn a_read_goes_on_elsewhere_when_its_connection_breaks(#[case] moment: u8, #[case] counted: &str) {
     let (near, far) = (Db::new(), Db::new());
     let (pooler, _discovery) = with_two(&near, &far);
@@ -290,7 +292,7 @@
     wire.send(&row(VALUE));
     wire.reset();
     assert!(client.answer()[1].1.ends_with(VALUE));
-    assert!(pooler.counters().contains(" sent=1 ok=1 "));
+    assert!(pooler.counters().contains(" attempts_sent=1 success=1 "));
 }
 
 /// A write of a class that may not be repeated goes out again only where it cannot have run.
@@ -372,9 +374,9 @@
 }
 
 #[rstest]
-#[case::full("53300", "full=1")]
-#[case::not_the_primary("25006", "miss=1")]
-#[case::behind("72000", "miss=1")]
+#[case::full("53300", "overloaded=1")]
+#[case::not_the_primary("25006", "ineligible=1")]
+#[case::behind("72000", "ineligible=1")]
 #[case::fault("XX000", "error=1")]
 fn what_a_machine_says_decides_the_outcome(#[case] code: &str, #[case] counted: &str) {
     let (near, far) = (Db::new(), Db::new());
@@ -414,7 +416,10 @@
     wire.send(&served(VALUE, "reader"));
     assert_eq!(client.answer()[0].0, b'T');
     let counters = pooler.counters();
-    assert!(counters.contains("sent=7 ok=2") && counters.contains("rejected=5"), "{counters}");
+    assert!(
+        counters.contains("attempts_sent=7 success=2") && counters.contains("invalid_request=5"),
+        "{counters}"
+    );
 }
 
 #[test]
@@ -468,7 +473,7 @@
     assert!(third.contains("id=3,") && d <= 8100, "{third}");
     wire.send(&served(VALUE, "reader"));
     assert_eq!(ahead.answer()[0].0, b'T');
-    assert!(pooler.counters().contains(" sent=3 "));
+    assert!(pooler.counters().contains(" attempts_sent=3 "));
 }
 
 /// What a session's read has to see, where its client carries that, was not read: any replica would do.
@@ -532,7 +537,7 @@
     assert!(asked(&mut wire).contains("id=1,"));
     wire.send(&served(VALUE, "reader"));
     assert_eq!(client.answer()[0].0, b'T');
-    assert!(pooler.counters().contains(" unreadable=3 "));
+    assert!(pooler.counters().contains(" unreadable_reports=3 "));
 }
 
 /// Where probes are allowed and report nothing of use, primaries were sought by probes that could not tell.
@@ -550,7 +555,7 @@
     assert!(asked(&mut wire).contains("id=1,"));
     wire.send(&served(VALUE, "writer"));
     assert_eq!(client.answer()[0].0, b'T');
-    assert!(pooler.counters().contains(" probed=0 "));
+    assert!(pooler.counters().contains(" health_checks_sent=0 "));
 }
 
 #[rstest]
@@ -576,7 +581,11 @@
     wire.send(&served(VALUE, "reader"));
     assert_eq!(client.answer().iter().map(|(k, b)| frame(*k, b)).collect::<Vec<_>>().concat(), row(VALUE));
     let counters = pooler.counters();
-    assert!(counters.contains(" ok=1 error=1 ") && counters.contains(" spoilt=1 stray=0 "), "{counters}");
+    assert!(
+        counters.contains(" success=1 error=1 ")
+            && counters.contains(" malformed_answers=1 unsolicited_messages=0 "),
+        "{counters}"
+    );
 }
 
 #[rstest]
@@ -600,7 +609,7 @@
     }
     wire.ends();
     warm(&db, &mut client);
-    assert!(pooler.counters().contains(" spoilt=0 stray=1 "));
+    assert!(pooler.counters().contains(" malformed_answers=0 unsolicited_messages=1 "));
 }
 
 #[rstest]
@@ -620,8 +629,8 @@
     let (mut watch, line) = discovery.call();
     assert!(line.contains("follow=1&since=41 "), "{line}");
     // The machine has another address, and the chunks are split at every byte.
-    let news = format!("\n{}\n", list(43, false, &[new.line("s-1", "here")]));
-    watch.write_all(&[HEAD.as_bytes(), &chunks(news.as_bytes().chunks(1))].concat()).unwrap();
+    let endpoint_list = format!("\n{}\n", list(43, false, &[new.line("s-1", "here")]));
+    watch.write_all(&[HEAD.as_bytes(), &chunks(endpoint_list.as_bytes().chunks(1))].concat()).unwrap();
     idle.ends();
     warm(&new, &mut client);
     // The watch ends: the next is opened from what is held.
@@ -690,7 +699,7 @@
     watch.write_all(HEAD.as_bytes()).unwrap();
     chunks(text.as_bytes().chunks(piece)).chunks(piece).for_each(|bytes| watch.write_all(bytes).unwrap());
     idle.ends();
-    assert!(pooler.counters().contains(" lists=2 lists_failed=0"));
+    assert!(pooler.counters().contains(" endpoint_updates=2 watch_failures=0"));
 }
 
 #[test]
@@ -758,7 +767,7 @@
     asked(&mut wire);
     wire.send(&served(VALUE, "writer"));
     assert_eq!(client.answer()[0].0, b'T');
-    assert!(pooler.counters().contains("sent=1 ok=1"));
+    assert!(pooler.counters().contains("attempts_sent=1 success=1"));
 }
 
 #[test]
@@ -774,7 +783,7 @@
     assert!(asked(&mut wire).contains("id=2,"));
     wire.send(&served(VALUE, "reader"));
     assert_eq!(client.answer()[0].0, b'T');
-    assert!(pooler.counters().contains("sent=2 ok=2"));
+    assert!(pooler.counters().contains("attempts_sent=2 success=2"));
 }
 
 #[test]
@@ -790,7 +799,7 @@
     let (pooler, _discovery) = with_one(&db, &[THREE_CLIENTS]);
     let mut clients: Vec<Wire> = (0..3).map(|_| client(&pooler)).collect();
     // Three are as many as there is room for: none has to leave before a fourth is there.
-    assert!(pooler.counters().contains("clients=3"));
+    assert!(pooler.counters().contains("clients_accepted=3"));
     clients.push(client(&pooler));
     // The first has been idle for longest.
     clients.remove(0).ends();
@@ -853,7 +862,7 @@
     silent.ends();
     // Whoever has asked may rest.
     warm(&db, &mut usual);
-    assert!(pooler.counters().contains(" overdue=1 "));
+    assert!(pooler.counters().contains(" client_timeouts=1 "));
 }
 
 /// Idle clients hold every descriptor that the system gives while discovery is down.
@@ -889,7 +898,7 @@
     once.ends_in_order();
     // What crosses the end goes nowhere, and is not answered by a reset, which could overtake an answer.
     once.send(&query(&ask("2", "reports")));
-    assert!(pooler.counters().contains(" overdue=0 rested=1 "));
+    assert!(pooler.counters().contains(" client_timeouts=0 idle_closed=1 "));
     // After a reset this could not be sent.
     once.send(&query(&ask("2", "reports")));
     let mut other = client(&pooler);
@@ -985,7 +994,7 @@
     // It crosses the end of its connection: it is not read any more, and there is no reset.
     idle.send(&query(&ask("3", "reports")));
     busy.send(&query(&ask("4", "reports")).repeat(2));
-    assert!(pooler.counters().contains("taken=1 "));
+    assert!(pooler.counters().contains("requests_received=1 "));
     idle.send(&query(&ask("3", "reports")));
     wire.send(&served(VALUE, "reader"));
     assert_eq!(busy.answer()[0].0, b'T');
@@ -999,7 +1008,7 @@
     busy.send(&query(&ask("5", "reports")));
     assert!(wire.next().is_none());
     assert_eq!(pooler.ended().code(), Some(0));
-    assert!(pooler.logged(" ends: ").contains("taken=2 malformed=0 served=2 refused=2"));
+    assert!(pooler.logged(" ends: ").contains("requests_received=2 malformed=0 served=2 rejected=2"));
 }
 
 #[test]
@@ -1016,14 +1025,14 @@
     pooler.logged("configuration kept as it was");
     pooler.reload("{name", "{\"name\"");
     pooler.logged("configuration read again");
-    assert!(pooler.counters().contains(" reloads=1 reloads_failed=1"));
+    assert!(pooler.counters().contains(" reloads=1 reload_failures=1"));
     pooler.reload(&discovery.address().to_string(), &moved.address().to_string());
     // Versions are the new service's own. The old watch, which neither reload before has touched, ends.
-    let (mut news, line) = moved.call();
+    let (mut endpoint_list, line) = moved.call();
     assert!(line.contains("follow=1&since=0 "), "{line}");
     assert_eq!(std::io::Read::read(&mut watch, &mut [0]).unwrap(), 0);
     let text = list(1, true, &[new.line("s-1", "here")]) + "\n";
-    news.write_all(&[HEAD.as_bytes(), &chunks([text.as_bytes()])].concat()).unwrap();
+    endpoint_list.write_all(&[HEAD.as_bytes(), &chunks([text.as_bytes()])].concat()).unwrap();
     wire.send(&served(VALUE, "reader"));
     assert_eq!(client.answer()[0].0, b'T');
     wire.ends();
