--- /dev/null
+++ b/src/net/buffer/ring_buffer.rs
@@ -0,0 +1,216 @@
+//! The ring buffer that each connection has for each direction.
+
+use std::io::{self, ErrorKind, Read, Write};
+use std::ops::Range;
+
+use super::memory_budget::{CapacityExceeded, MemoryBudget, MemoryReservation};
+
+/// Size of the first allocation.
+pub(super) const INITIAL_SIZE: usize = 1024;
+
+/// An empty buffer larger than this frees its memory, so that idle connections do not each keep the allocation of
+/// their largest message.
+const MAX_IDLE_SIZE: usize = 4 * 1024;
+
+/// The most bytes that one buffer holds: the largest message of either protocol with its header. A value has at
+/// most 64 KiB, and twice that in hexadecimal.
+pub(crate) const MAX_BUFFER_SIZE: usize = 160 * 1024;
+
+/// Why reading into a buffer stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReadStatus {
+    /// The source has no more bytes at present.
+    WouldBlock,
+    /// The source has reached its end.
+    Completion,
+    /// The buffer has reached its maximum size, or the memory budget is exhausted.
+    Full,
+}
+
+/// A queue of bytes that grows up to [`MAX_BUFFER_SIZE`] within its memory budget.
+pub(crate) struct RingBuffer {
+    storage: Vec<u8>,
+    /// Index of the first byte in `storage`.
+    head: usize,
+    len: usize,
+    /// The number of bytes added since the buffer was created.
+    total_received: u64,
+    reservation: MemoryReservation,
+}
+
+impl RingBuffer {
+    /// Creates an empty buffer that allocates nothing yet.
+    pub fn new(budget: &MemoryBudget) -> Self {
+        RingBuffer {
+            storage: Vec::new(),
+            head: 0,
+            len: 0,
+            total_received: 0,
+            reservation: budget.reservation(),
+        }
+    }
+
+    /// Reserves `bytes` on the budget of this buffer, for data that is taken out of it and kept.
+    pub fn reserve_memory(&self, bytes: usize) -> Result<MemoryReservation, CapacityExceeded> {
+        self.reservation.reserve_separately(bytes)
+    }
+
+    /// Returns the number of bytes in the buffer.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns whether the buffer holds no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Returns the number of bytes added since the buffer was created.
+    pub fn total_received(&self) -> u64 {
+        self.total_received
+    }
+
+    /// Returns the number of bytes removed since the buffer was created.
+    pub fn total_consumed(&self) -> u64 {
+        self.total_received - self.len as u64
+    }
+
+    /// Reads until the source would block, has ended, or the buffer is full.
+    pub fn read_from(&mut self, source: &mut impl Read) -> io::Result<ReadStatus> {
+        loop {
+            if self.len == self.storage.len() && self.reserve(1).is_err() {
+                return Ok(ReadStatus::Full);
+            }
+            let free = self.first_free_range();
+            match source.read(&mut self.storage[free]) {
+                Ok(0) => return Ok(ReadStatus::Completion),
+                Ok(count) => self.record_added(count),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.free_if_empty();
+                    return Ok(ReadStatus::WouldBlock);
+                }
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    /// Writes until the buffer is empty or the sink would block. Returns whether the buffer is empty.
+    pub fn write_to(&mut self, sink: &mut impl Write) -> io::Result<bool> {
+        while self.len > 0 {
+            let end = (self.head + self.len).min(self.storage.len());
+            match sink.write(&self.storage[self.head..end]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(count) => self.skip(count),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(false),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(true)
+    }
+
+    /// Appends `bytes`. On error, the buffer is unchanged.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), CapacityExceeded> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        self.reserve(bytes.len())?;
+        let tail = self.tail();
+        let before_wrap = bytes.len().min(self.storage.len() - tail);
+        let (first, second) = bytes.split_at(before_wrap);
+        self.storage[tail..tail + first.len()].copy_from_slice(first);
+        self.storage[..second.len()].copy_from_slice(second);
+        self.record_added(bytes.len());
+        Ok(())
+    }
+
+    /// Returns the first `N` bytes without removing them, or `None` if there are fewer.
+    pub fn peek<const N: usize>(&self) -> Option<[u8; N]> {
+        if self.len < N {
+            return None;
+        }
+        let mut bytes = [0; N];
+        self.copy_first(&mut bytes);
+        Some(bytes)
+    }
+
+    /// Returns at most `count` of the first bytes without removing them.
+    pub fn peek_up_to(&self, count: usize) -> Vec<u8> {
+        let mut bytes = vec![0; count.min(self.len)];
+        self.copy_first(&mut bytes);
+        bytes
+    }
+
+    /// Removes and returns at most `count` of the first bytes.
+    pub fn take(&mut self, count: usize) -> Vec<u8> {
+        let bytes = self.peek_up_to(count);
+        self.skip(bytes.len());
+        bytes
+    }
+
+    /// Removes at most `count` of the first bytes.
+    pub fn skip(&mut self, count: usize) {
+        let count = count.min(self.len);
+        self.len -= count;
+        self.head = if self.len == 0 { 0 } else { (self.head + count) % self.storage.len() };
+        self.free_if_empty();
+    }
+
+    /// Makes room for `additional` bytes.
+    fn reserve(&mut self, additional: usize) -> Result<(), CapacityExceeded> {
+        let needed = self.len + additional;
+        if needed > MAX_BUFFER_SIZE {
+            return Err(CapacityExceeded);
+        }
+        if needed > self.storage.len() {
+            self.grow(needed.next_power_of_two().clamp(INITIAL_SIZE, MAX_BUFFER_SIZE))?;
+        }
+        Ok(())
+    }
+
+    /// Moves the bytes to a new allocation of `size` bytes.
+    fn grow(&mut self, size: usize) -> Result<(), CapacityExceeded> {
+        self.reservation.resize(size)?;
+        let mut storage = vec![0; size];
+        self.copy_first(&mut storage[..self.len]);
+        self.storage = storage;
+        self.head = 0;
+        Ok(())
+    }
+
+    /// Copies the first bytes to `destination`, which must not be longer than the buffer.
+    fn copy_first(&self, destination: &mut [u8]) {
+        let before_wrap = destination.len().min(self.storage.len() - self.head);
+        let (first, second) = destination.split_at_mut(before_wrap);
+        first.copy_from_slice(&self.storage[self.head..self.head + first.len()]);
+        second.copy_from_slice(&self.storage[..second.len()]);
+    }
+
+    /// Returns the index in `storage` where the next byte is added. `storage` must not be empty.
+    fn tail(&self) -> usize {
+        (self.head + self.len) % self.storage.len()
+    }
+
+    /// Returns the free range of `storage` from the tail up to the head or the end of the allocation. The buffer
+    /// must have room.
+    fn first_free_range(&self) -> Range<usize> {
+        let tail = self.tail();
+        let end = if tail < self.head { self.head } else { self.storage.len() };
+        tail..end
+    }
+
+    /// Counts bytes that were written to `storage` at the tail.
+    fn record_added(&mut self, count: usize) {
+        self.len += count;
+        self.total_received += count as u64;
+    }
+
+    /// Frees a large allocation once the buffer is empty.
+    fn free_if_empty(&mut self) {
+        if self.len == 0 && self.storage.len() > MAX_IDLE_SIZE {
+            self.storage = Vec::new();
+            self.reservation.release();
+        }
+    }
+}
--- a/src/net/buffer/tests.rs
+++ b/src/net/buffer/tests.rs
@@ -1,39 +1,111 @@
+//! Tests of the ring buffer and of its memory budget.
+
+use std::io::{self, ErrorKind, Read};
+
+use super::ring_buffer::INITIAL_SIZE;
 use super::*;
 
+/// A source that never has anything to read.
+struct BlockedSource;
+
+impl Read for BlockedSource {
+    fn read(&mut self, _: &mut [u8]) -> io::Result<usize> {
+        Err(ErrorKind::WouldBlock.into())
+    }
+}
+
 #[test]
-fn bytes_come_out_in_their_order_however_they_lie() {
-    let mut buffer = RingBuffer::new(&MemoryBudget::new(BOUND));
-    let (mut put, mut got): (u8, u8) = (0, 0);
-    // Odd sizes put the seam at every place, and more goes in than out, so it grows meanwhile.
+fn ring_buffer_keeps_byte_order_across_wraparound_and_growth() {
+    let mut buffer = RingBuffer::new(&MemoryBudget::new(MAX_BUFFER_SIZE));
+    let mut next_pushed: u8 = 0;
+    let mut next_taken: u8 = 0;
     let mut check = |bytes: Vec<u8>| {
         for byte in bytes {
-            assert_eq!(byte, got);
-            got = got.wrapping_add(1);
+            assert_eq!(byte, next_taken);
+            next_taken = next_taken.wrapping_add(1);
         }
-        got
+        next_taken
     };
+    // Odd sizes put the wraparound at every index. More is pushed than taken, so that the buffer also grows.
     for round in 0..2000 {
-        let bytes: Vec<u8> = (0..round % 37).map(|n| put.wrapping_add(n as u8)).collect();
+        let bytes: Vec<u8> = (0..round % 37).map(|n| next_pushed.wrapping_add(n as u8)).collect();
         buffer.push(&bytes).unwrap();
-        put = put.wrapping_add(bytes.len() as u8);
+        next_pushed = next_pushed.wrapping_add(bytes.len() as u8);
         check(buffer.take(round % 31));
     }
-    let mut rest = Vec::new();
-    assert!(buffer.write_to(&mut rest).unwrap());
-    assert_eq!(check(rest), put);
+    let mut written = Vec::new();
+    assert!(buffer.write_to(&mut written).unwrap());
+    assert_eq!(check(written), next_pushed);
 }
 
 #[test]
-fn all_buffers_share_their_budget_and_give_it_back() {
-    let budget = MemoryBudget::new(BOUND + START);
-    let (mut one, mut two) = (RingBuffer::new(&budget), RingBuffer::new(&budget));
-    one.push(&vec![1; BOUND]).unwrap();
-    assert!(one.push(&[1]).is_err(), "past its own bound");
+fn buffers_share_their_memory_budget_and_return_it() {
+    let budget = MemoryBudget::new(MAX_BUFFER_SIZE + INITIAL_SIZE);
+    let mut one = RingBuffer::new(&budget);
+    let mut two = RingBuffer::new(&budget);
+    one.push(&vec![1; MAX_BUFFER_SIZE]).unwrap();
+    assert!(one.push(&[1]).is_err(), "past its own maximum size");
     two.push(&[2]).unwrap();
-    assert!(two.push(&vec![2; START]).is_err(), "past the budget of both");
-    assert_eq!(two.read_from(&mut &[3; BOUND][..]).unwrap(), ReadStatus::Full);
-    one.skip(BOUND);
-    assert_eq!(two.read_from(&mut &[3; START][..]).unwrap(), ReadStatus::Completion);
+    assert!(two.push(&vec![2; INITIAL_SIZE]).is_err(), "past the shared budget");
+    assert_eq!(two.read_from(&mut &[3; MAX_BUFFER_SIZE][..]).unwrap(), ReadStatus::Full);
+    one.skip(MAX_BUFFER_SIZE);
+    assert_eq!(two.read_from(&mut &[3; INITIAL_SIZE][..]).unwrap(), ReadStatus::Completion);
     drop((one, two));
-    assert_eq!(budget.0.get(), BOUND + START);
+    assert_eq!(budget.available(), MAX_BUFFER_SIZE + INITIAL_SIZE);
+}
+
+#[test]
+fn failed_push_leaves_the_buffer_unchanged() {
+    let mut buffer = RingBuffer::new(&MemoryBudget::new(INITIAL_SIZE));
+    buffer.push(b"kept").unwrap();
+    assert_eq!(buffer.push(&[0; INITIAL_SIZE]), Err(CapacityExceeded));
+    assert_eq!(buffer.total_received(), 4);
+    assert_eq!(buffer.take(INITIAL_SIZE), b"kept");
+}
+
+#[test]
+fn peek_leaves_the_bytes_and_needs_all_of_them() {
+    let mut buffer = RingBuffer::new(&MemoryBudget::new(INITIAL_SIZE));
+    assert_eq!(buffer.peek::<0>(), Some([]));
+    assert_eq!(buffer.peek_up_to(3), b"");
+    buffer.push(b"abc").unwrap();
+    assert_eq!(buffer.peek(), Some(*b"ab"));
+    assert_eq!(buffer.peek::<4>(), None);
+    assert_eq!(buffer.peek_up_to(9), b"abc");
+    assert_eq!(buffer.len(), 3);
+}
+
+#[test]
+fn totals_count_added_and_removed_bytes() {
+    let mut buffer = RingBuffer::new(&MemoryBudget::new(INITIAL_SIZE));
+    buffer.push(b"abc").unwrap();
+    buffer.read_from(&mut &b"de"[..]).unwrap();
+    buffer.skip(4);
+    assert_eq!((buffer.total_received(), buffer.total_consumed()), (5, 4));
+    buffer.skip(100);
+    assert_eq!((buffer.total_received(), buffer.total_consumed()), (5, 5));
+    assert!(buffer.is_empty());
+}
+
+#[test]
+fn empty_buffer_frees_a_large_allocation_but_keeps_a_small_one() {
+    let budget = MemoryBudget::new(MAX_BUFFER_SIZE);
+    let mut buffer = RingBuffer::new(&budget);
+    assert_eq!(buffer.read_from(&mut BlockedSource).unwrap(), ReadStatus::WouldBlock);
+    assert_eq!(budget.available(), MAX_BUFFER_SIZE - INITIAL_SIZE);
+    buffer.push(&[0; 8 * INITIAL_SIZE]).unwrap();
+    buffer.skip(8 * INITIAL_SIZE);
+    assert_eq!(budget.available(), MAX_BUFFER_SIZE);
+}
+
+#[test]
+fn separate_reservation_counts_against_the_same_budget() {
+    let budget = MemoryBudget::new(100);
+    let buffer = RingBuffer::new(&budget);
+    let mut reservation = buffer.reserve_memory(60).unwrap();
+    assert!(buffer.reserve_memory(41).is_err());
+    assert_eq!(reservation.resize(101), Err(CapacityExceeded));
+    assert_eq!(budget.available(), 40, "a failed resize changes nothing");
+    drop(reservation);
+    assert_eq!(budget.available(), 100);
 }
--- a/src/net/postgres.rs
+++ b/src/net/postgres.rs
@@ -3,11 +3,11 @@
 
 use std::ops::Range;
 
-use super::buffer::{RingBuffer, BOUND};
+use super::buffer::{RingBuffer, MAX_BUFFER_SIZE};
 use super::{Query, Statement};
 
 /// Longest body of a message: its frame must fit a buffer together with it.
-const LONGEST: usize = BOUND - 5;
+const LONGEST: usize = MAX_BUFFER_SIZE - 5;
 /// Longest value, and the longest message of a database host that holds a name or a tag, or any other text.
 const LONGEST_VALUE: usize = 64 * 1024;
 const LONGEST_NAME: usize = 1024;
