--- a/src/net/buffer/memory_budget.rs
+++ b/src/net/buffer/memory_budget.rs
@@ -13,8 +13,8 @@
 
 /// The number of bytes that all buffers together may still allocate.
 ///
-/// Each peer stays within the limit of its own buffer, but many peers together could exceed the memory limit of
-/// the process. Clones share the same budget.
+/// Each peer stays within the limit of its own buffer, but many peers together could exceed the memory limit
+/// of the process. Clones share the same budget.
 #[derive(Clone)]
 pub(crate) struct MemoryBudget {
     available: Rc<Cell<usize>>,
--- a/src/net/buffer/ring_buffer.rs
+++ b/src/net/buffer/ring_buffer.rs
@@ -8,12 +8,12 @@
 /// Size of the first allocation.
 pub(super) const INITIAL_SIZE: usize = 1024;
 
-/// An empty buffer larger than this frees its memory, so that idle connections do not each keep the allocation of
-/// their largest message.
+/// An empty buffer larger than this frees its memory, so that idle connections do not each keep the
+/// allocation of their largest message.
 const MAX_IDLE_SIZE: usize = 4 * 1024;
 
-/// The most bytes that one buffer holds: the largest message of either protocol with its header. A value has at
-/// most 64 KiB, and twice that in hexadecimal.
+/// The most bytes that one buffer holds: the largest message of either protocol with its header. A value has
+/// at most 64 KiB, and twice that in hexadecimal.
 pub(crate) const MAX_BUFFER_SIZE: usize = 160 * 1024;
 
 /// Why reading into a buffer stopped.
@@ -192,8 +192,8 @@
         (self.head + self.len) % self.storage.len()
     }
 
-    /// Returns the free range of `storage` from the tail up to the head or the end of the allocation. The buffer
-    /// must have room.
+    /// Returns the free range of `storage` from the tail up to the head or the end of the allocation. The
+    /// buffer must have room.
     fn first_free_range(&self) -> Range<usize> {
         let tail = self.tail();
         let end = if tail < self.head { self.head } else { self.storage.len() };
--- /dev/null
+++ b/src/net/reactor/connection_table.rs
@@ -0,0 +1,72 @@
+//! Connections by id. An id is never valid for a later connection in the same slot.
+
+use slab::Slab;
+
+/// The number of bits of a generation: an event token must hold it beside the index and the kind of the
+/// source.
+pub(super) const GENERATION_BITS: u32 = 29;
+/// The largest generation. The one after it is 0 again.
+pub(super) const MAX_GENERATION: u32 = (1 << GENERATION_BITS) - 1;
+
+/// Identifies one connection in a [`ConnectionTable`].
+///
+/// Slots are reused, so an id also has the generation of its connection. An event that arrives after the
+/// connection was removed therefore does not reach the next connection in the slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct ConnectionId {
+    pub(super) index: u32,
+    pub(super) generation: u32,
+}
+
+/// A connection and the generation that its id must have.
+struct Entry<T> {
+    generation: u32,
+    connection: T,
+}
+
+/// Connections by [`ConnectionId`].
+pub(crate) struct ConnectionTable<T> {
+    entries: Slab<Entry<T>>,
+    next_generation: u32,
+}
+
+impl<T> ConnectionTable<T> {
+    /// Creates an empty table.
+    pub fn new() -> Self {
+        ConnectionTable { entries: Slab::new(), next_generation: 0 }
+    }
+
+    /// Returns the number of connections.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Adds a connection and returns its id.
+    pub fn insert(&mut self, connection: T) -> ConnectionId {
+        let generation = self.next_generation;
+        self.next_generation = (generation + 1) & MAX_GENERATION;
+        let index = self.entries.insert(Entry { generation, connection });
+        ConnectionId { index: index as u32, generation }
+    }
+
+    /// Returns the connection with this id, unless it was removed.
+    pub fn get_mut(&mut self, id: ConnectionId) -> Option<&mut T> {
+        let entry = self.entries.get_mut(id.index as usize)?;
+        (entry.generation == id.generation).then_some(&mut entry.connection)
+    }
+
+    /// Removes and returns the connection with this id, unless it was removed before.
+    pub fn remove(&mut self, id: ConnectionId) -> Option<T> {
+        self.get_mut(id)?;
+        let entry = self.entries.try_remove(id.index as usize)?;
+        Some(entry.connection)
+    }
+
+    /// Iterates over all connections in the order of their slots.
+    pub fn iter(&self) -> impl Iterator<Item = (ConnectionId, &T)> {
+        self.entries.iter().map(|(index, entry)| {
+            let id = ConnectionId { index: index as u32, generation: entry.generation };
+            (id, &entry.connection)
+        })
+    }
+}
