--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -292,7 +292,7 @@
                 }
                 Err(what) => {
                     context.counters.malformed += 1;
-                    self.error(sqlstate::SYNTAX_ERROR, what, None)?;
+                    self.error(sqlstate::SYNTAX_ERROR, &what.to_string(), None)?;
                 }
             },
             b'P' | b'B' | b'D' | b'E' | b'C' => {
--- /dev/null
+++ b/src/net/postgres/query_comment.rs
@@ -0,0 +1,160 @@
+//! The comment before a client's statement: pairs of names and values with commas between them, such as
+//! `id=a1, c=read, cluster=2, d=500`.
+
+use std::ops::Range;
+
+use super::query::QueryError;
+
+const ID: &str = "id";
+const CLASS: &str = "c";
+const TENANT: &str = "t";
+const GROUP: &str = "cluster";
+const TIMEOUT: &str = "d";
+const IDEMPOTENCY_KEY: &str = "k";
+const CLIENT_RETRY: &str = "r";
+const SESSION_TOKEN: &str = "after";
+
+/// The value of [`CLIENT_RETRY`] that marks a retry.
+const IS_RETRY: &str = "1";
+
+/// The most digits of a number: a float holds all such numbers exactly. A time in milliseconds has 13.
+const MAX_DIGITS: usize = 15;
+const MILLIS_PER_SECOND: f64 = 1000.0;
+
+/// The checked fields of a comment.
+#[derive(Debug, PartialEq)]
+pub(super) struct CommentFields {
+    pub id: String,
+    pub class: String,
+    /// Empty without a tenant.
+    pub tenant: String,
+    pub group: u32,
+    /// Seconds.
+    pub timeout: f64,
+    /// Where in the query the digits of the timeout are.
+    pub timeout_position: Range<usize>,
+    /// The commit that the query must see (Unix seconds).
+    pub session_token: Option<f64>,
+    pub has_idempotency_key: bool,
+    pub client_retry: bool,
+}
+
+/// The text of a value, which is never empty, and its place in the query.
+struct RawValue<'a> {
+    text: &'a str,
+    start: usize,
+}
+
+impl<'a> RawValue<'a> {
+    /// Makes a value without the spaces around it; `start` is the place of `padded` in the query.
+    fn trimmed(padded: &'a str, start: usize) -> Self {
+        let without_leading = padded.trim_start();
+        let leading = padded.len() - without_leading.len();
+        RawValue { text: without_leading.trim_end(), start: start + leading }
+    }
+
+    fn position(&self) -> Range<usize> {
+        self.start..self.start + self.text.len()
+    }
+}
+
+/// The fields of a comment as text. Fields of other names are ignored.
+#[derive(Default)]
+pub(super) struct RawFields<'a> {
+    id: Option<RawValue<'a>>,
+    class: Option<RawValue<'a>>,
+    tenant: Option<RawValue<'a>>,
+    group: Option<RawValue<'a>>,
+    timeout: Option<RawValue<'a>>,
+    idempotency_key: Option<RawValue<'a>>,
+    client_retry: Option<RawValue<'a>>,
+    session_token: Option<RawValue<'a>>,
+}
+
+impl<'a> RawFields<'a> {
+    /// Parses the text inside a comment; `start` is its place in the query.
+    pub fn parse(comment: &'a str, start: usize) -> Result<Self, QueryError> {
+        let mut fields = RawFields::default();
+        let mut pair_start = start;
+        for pair in comment.split(',') {
+            let (name, value) = pair.split_once('=').ok_or(QueryError::NotNameAndValue)?;
+            let value_start = pair_start + name.len() + 1;
+            fields.set(name.trim(), RawValue::trimmed(value, value_start))?;
+            pair_start += pair.len() + 1;
+        }
+        Ok(fields)
+    }
+
+    fn set(&mut self, name: &str, value: RawValue<'a>) -> Result<(), QueryError> {
+        let Some(field) = self.field_mut(name) else { return Ok(()) };
+        if value.text.is_empty() || field.is_some() {
+            return Err(QueryError::EmptyOrRepeatedValue);
+        }
+        *field = Some(value);
+        Ok(())
+    }
+
+    fn field_mut(&mut self, name: &str) -> Option<&mut Option<RawValue<'a>>> {
+        match name {
+            ID => Some(&mut self.id),
+            CLASS => Some(&mut self.class),
+            TENANT => Some(&mut self.tenant),
+            GROUP => Some(&mut self.group),
+            TIMEOUT => Some(&mut self.timeout),
+            IDEMPOTENCY_KEY => Some(&mut self.idempotency_key),
+            CLIENT_RETRY => Some(&mut self.client_retry),
+            SESSION_TOKEN => Some(&mut self.session_token),
+            _ => None,
+        }
+    }
+
+    /// Checks the fields. The order of the checks decides which of several errors the client is told.
+    pub fn check(self) -> Result<CommentFields, QueryError> {
+        let timeout = self.timeout.ok_or(QueryError::NoTimeout)?;
+        let session_token = parse_session_token(self.session_token)?;
+        let group = parse_group(self.group).ok_or(QueryError::NoGroup)?;
+        let id = self.id.ok_or(QueryError::NoId)?;
+        let class = self.class.ok_or(QueryError::NoClass)?;
+        let seconds = parse_timeout(&timeout).ok_or(QueryError::InvalidTimeout)?;
+        Ok(CommentFields {
+            id: id.text.into(),
+            class: class.text.into(),
+            tenant: self.tenant.map(|tenant| tenant.text.into()).unwrap_or_default(),
+            group,
+            timeout: seconds,
+            timeout_position: timeout.position(),
+            session_token,
+            has_idempotency_key: self.idempotency_key.is_some(),
+            client_retry: self.client_retry.is_some_and(|value| value.text == IS_RETRY),
+        })
+    }
+}
+
+/// Parses the optional session token. A token of 0 requires no commit to be seen.
+fn parse_session_token(value: Option<RawValue>) -> Result<Option<f64>, QueryError> {
+    let Some(value) = value else { return Ok(None) };
+    let millis = parse_millis(value.text).ok_or(QueryError::InvalidSessionToken)?;
+    Ok((millis > 0).then(|| to_seconds(millis)))
+}
+
+fn parse_group(value: Option<RawValue>) -> Option<u32> {
+    value?.text.parse().ok()
+}
+
+/// Returns the timeout in seconds, unless it is 0.
+fn parse_timeout(value: &RawValue) -> Option<f64> {
+    let millis = parse_millis(value.text)?;
+    (millis > 0).then(|| to_seconds(millis))
+}
+
+fn parse_millis(text: &str) -> Option<u64> {
+    let is_number = text.len() <= MAX_DIGITS && text.bytes().all(|byte| byte.is_ascii_digit());
+    if !is_number {
+        return None;
+    }
+    text.parse().ok()
+}
+
+fn to_seconds(millis: u64) -> f64 {
+    millis as f64 / MILLIS_PER_SECOND
+}
--- /dev/null
+++ b/src/net/postgres/startup.rs
@@ -0,0 +1,123 @@
+//! The start of a session: the packets that clients send first, and the answer to them.
+
+use super::framing::FrameError;
+use super::message_kind::server;
+use super::messages::{ready_for_query, write_message, write_with_length};
+use super::strings::push_string;
+use crate::net::buffer::RingBuffer;
+
+/// The longest startup packet: it holds a few names.
+const MAX_STARTUP_PACKET: usize = 10_000;
+/// The length and the request code.
+const MIN_STARTUP_PACKET: usize = 8;
+/// The length, the request code and the two words of the key.
+const CANCEL_PACKET: usize = 16;
+
+/// A protocol version has its major number in the upper half and its minor number in the lower half.
+const MINOR_VERSION_BITS: u32 = 16;
+const MAJOR_VERSION: u32 = 3;
+const PROTOCOL_VERSION: u32 = MAJOR_VERSION << MINOR_VERSION_BITS;
+
+const CANCEL_REQUEST: u32 = 80_877_102;
+const SSL_REQUEST: u32 = 80_877_103;
+const GSS_ENCRYPTION_REQUEST: u32 = 80_877_104;
+
+/// The body of an authentication message that says that the client is authenticated.
+const AUTHENTICATION_OK: [u8; 4] = [0; 4];
+/// The parameters that a client is told when its session starts.
+const SESSION_PARAMETERS: [(&str, &str); 6] = [
+    ("server_version", "15.0"),
+    ("server_encoding", "UTF8"),
+    ("client_encoding", "UTF8"),
+    ("DateStyle", "ISO, MDY"),
+    ("integer_datetimes", "on"),
+    ("standard_conforming_strings", "on"),
+];
+
+/// The process number and the secret that a client receives when its session starts. It repeats them to
+/// cancel its query.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct CancelKey(pub u32, pub u32);
+
+/// The request in the first packet of a client.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Startup {
+    /// Starts a session.
+    Session,
+    /// Asks for an encrypted connection.
+    Encryption,
+    /// Cancels the query of the client that received this key.
+    Cancel(CancelKey),
+    /// A protocol version that is not supported.
+    Unknown,
+}
+
+/// Takes the first packet of a client, which has no kind, or returns `None` until it is complete.
+pub(crate) fn read_startup(buffer: &mut RingBuffer) -> Result<Option<Startup>, FrameError> {
+    let Some(length) = buffer.peek().map(u32::from_be_bytes) else { return Ok(None) };
+    let length = length as usize;
+    if length < MIN_STARTUP_PACKET {
+        return Err(FrameError::Malformed);
+    }
+    if length > MAX_STARTUP_PACKET {
+        return Err(FrameError::TooLong);
+    }
+    if buffer.len() < length {
+        return Ok(None);
+    }
+    parse_startup(&buffer.take(length)).map(Some)
+}
+
+/// Parses a complete packet, with its length.
+fn parse_startup(packet: &[u8]) -> Result<Startup, FrameError> {
+    match word(packet, 1).unwrap_or_default() {
+        SSL_REQUEST | GSS_ENCRYPTION_REQUEST => Ok(Startup::Encryption),
+        CANCEL_REQUEST => parse_cancel_key(packet).map(Startup::Cancel).ok_or(FrameError::Malformed),
+        version if version >> MINOR_VERSION_BITS == MAJOR_VERSION => Ok(Startup::Session),
+        _ => Ok(Startup::Unknown),
+    }
+}
+
+fn parse_cancel_key(packet: &[u8]) -> Option<CancelKey> {
+    if packet.len() != CANCEL_PACKET {
+        return None;
+    }
+    Some(CancelKey(word(packet, 2)?, word(packet, 3)?))
+}
+
+/// Returns the word of four bytes at `index`, counted in words.
+fn word(packet: &[u8], index: usize) -> Option<u32> {
+    let bytes = packet.get(4 * index..)?.first_chunk()?;
+    Some(u32::from_be_bytes(*bytes))
+}
+
+/// Returns the packet that starts a session with a database host.
+pub(crate) fn startup_message(user: &str, database: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    write_with_length(&mut out, |out| {
+        out.extend(PROTOCOL_VERSION.to_be_bytes());
+        for text in ["user", user, "database", database] {
+            push_string(out, text);
+        }
+        out.push(0);
+    });
+    out
+}
+
+/// Returns the answer to a client's startup packet, up to and with ReadyForQuery.
+pub(crate) fn session_start(CancelKey(process, secret): CancelKey) -> Vec<u8> {
+    let mut out = Vec::new();
+    write_message(&mut out, server::AUTHENTICATION, |out| out.extend(AUTHENTICATION_OK));
+    for (name, value) in SESSION_PARAMETERS {
+        write_message(&mut out, server::PARAMETER_STATUS, |out| {
+            push_string(out, name);
+            push_string(out, value);
+        });
+    }
+    write_message(&mut out, server::BACKEND_KEY_DATA, |out| {
+        out.extend(process.to_be_bytes());
+        out.extend(secret.to_be_bytes());
+    });
+    out.extend(ready_for_query());
+    out
+}
--- /dev/null
+++ b/src/net/postgres/tests/mod.rs
@@ -0,0 +1,30 @@
+//! Tests of the parsing and writing of PostgreSQL messages.
+
+mod framing;
+mod messages;
+mod query;
+mod startup;
+
+use super::*;
+use crate::net::buffer::{MemoryBudget, RingBuffer, MAX_BUFFER_SIZE};
+
+/// Seeds the random inputs, so that every run has the same.
+const SEED: u64 = 20_240_607;
+
+fn buffer_with(bytes: &[u8]) -> RingBuffer {
+    let mut buffer = RingBuffer::new(&MemoryBudget::new(MAX_BUFFER_SIZE));
+    buffer.push(bytes).unwrap();
+    buffer
+}
+
+/// A message as it is on the wire.
+fn wire_message(kind: u8, body: &[u8]) -> Vec<u8> {
+    let mut out = Vec::new();
+    append_message(&mut out, &Message { kind, body: body.to_vec() });
+    out
+}
+
+fn random_bytes(rng: &mut fastrand::Rng, max_length: usize) -> Vec<u8> {
+    let length = rng.usize(..=max_length);
+    (0..length).map(|_| rng.u8(..)).collect()
+}
--- /dev/null
+++ b/src/net/postgres/tests/query.rs
@@ -0,0 +1,194 @@
+//! Tests of parsing a client's query and its comment.
+
+use rstest::rstest;
+
+use super::super::query::QueryError;
+use super::*;
+use crate::net::Query;
+
+const MINIMAL: &str = "/*id=a1,c=read,cluster=2,d=500*/ SELECT 1";
+
+fn parse(sql: &str) -> Result<ParsedQuery, QueryError> {
+    parse_query(&[sql.as_bytes(), b"\0"].concat())
+}
+
+fn parse_valid(sql: &str) -> Query {
+    match parse(sql) {
+        Ok(ParsedQuery::Query(query)) => *query,
+        other => panic!("{sql}: {other:?}"),
+    }
+}
+
+fn timeout_text(query: &Query) -> &str {
+    &query.statement.text[query.statement.timeout.clone()]
+}
+
+#[test]
+fn required_fields_suffice() {
+    let query = parse_valid(MINIMAL);
+    assert_eq!((query.id.as_str(), query.class.as_str(), query.group), ("a1", "read", 2));
+    assert_eq!(query.timeout, 0.5);
+    assert_eq!(query.tenant, "");
+    assert_eq!(query.session_token, None);
+    assert!(!query.has_idempotency_key);
+    assert!(!query.client_retry);
+    assert_eq!(query.session, None);
+    assert_eq!(&*query.statement.text, MINIMAL);
+    assert_eq!(timeout_text(&query), "500");
+}
+
+#[test]
+fn optional_fields_are_taken() {
+    let query =
+        parse_valid("/*id=a,c=w,t=shop,cluster=0,d=1,k=key,r=1,after=1700000000500,x=y*/ SELECT 'user 7'");
+    assert_eq!(query.tenant, "shop");
+    assert_eq!(query.session_token, Some(1_700_000_000.5));
+    assert!(query.has_idempotency_key);
+    assert!(query.client_retry);
+    assert_eq!(query.session.as_deref(), Some("user 7"));
+}
+
+#[test]
+fn spaces_around_names_and_values_are_ignored() {
+    let query = parse_valid(" \n/* id = é 1 ,\tc=read , cluster= 2, d =  500 ,é=1*/SELECT 1;");
+    assert_eq!((query.id.as_str(), query.class.as_str()), ("é 1", "read"));
+    assert_eq!(timeout_text(&query), "500");
+}
+
+#[test]
+fn value_may_contain_an_equals_sign() {
+    assert_eq!(parse_valid("/*id=a=b,c=read,cluster=2,d=500*/ SELECT 1").id, "a=b");
+}
+
+#[test]
+fn timeout_is_replaced_in_the_statement() {
+    let query = parse_valid("/*d= 500 ,id=a,c=d=500,cluster=2*/ SELECT 500");
+    assert_eq!(query.statement.with_timeout(0.0071), b"/*d= 7 ,id=a,c=d=500,cluster=2*/ SELECT 500");
+}
+
+#[rstest]
+#[case::zero("0", None)]
+#[case::one("1", Some(0.001))]
+#[case::fifteen_digits("999999999999999", Some(999_999_999_999.999))]
+fn session_token_is_in_milliseconds(#[case] value: &str, #[case] expected: Option<f64>) {
+    let query = parse_valid(&format!("/*id=a,c=r,cluster=2,d=5,after={value}*/ SELECT 1"));
+    assert_eq!(query.session_token, expected);
+}
+
+#[rstest]
+#[case::retry("1", true)]
+#[case::no_retry("0", false)]
+#[case::other_text("01", false)]
+fn client_retry_is_marked_by_one(#[case] value: &str, #[case] expected: bool) {
+    let query = parse_valid(&format!("/*id=a,c=r,cluster=2,d=5,r={value}*/ SELECT 1"));
+    assert_eq!(query.client_retry, expected);
+}
+
+#[rstest]
+#[case::no_quotes("SELECT 1", None)]
+#[case::one_quote("SELECT 'a", None)]
+#[case::empty("SELECT ''", Some(""))]
+#[case::first_of_two("SELECT 'a', 'b'", Some("a"))]
+fn session_is_the_first_quoted_string(#[case] statement: &str, #[case] expected: Option<&str>) {
+    let query = parse_valid(&format!("/*id='x',c=r,cluster=2,d=5*/ {statement}"));
+    assert_eq!(query.session.as_deref(), expected);
+}
+
+#[rstest]
+#[case::empty("")]
+#[case::spaces(" \t\r\n")]
+#[case::semicolons(" ; ;")]
+fn query_without_statement_is_nothing(#[case] sql: &str) {
+    assert!(matches!(parse(sql), Ok(ParsedQuery::Nothing)));
+}
+
+#[rstest]
+#[case::empty(b"")]
+#[case::no_zero(b"SELECT 1")]
+#[case::two_zeros(b"SELECT 1\0\0")]
+#[case::zero_inside(b"SELECT\x001\0")]
+#[case::not_utf8(b"SELECT \xff\0")]
+fn body_that_is_not_one_string_is_rejected(#[case] body: &[u8]) {
+    assert_eq!(parse_query(body).unwrap_err(), QueryError::InvalidText);
+}
+
+#[rstest]
+#[case::no_comment("SELECT 1", QueryError::NoComment)]
+#[case::comment_after_the_statement("SELECT 1 /*id=a,c=r,cluster=2,d=5*/", QueryError::NoComment)]
+#[case::no_end("/*id=a,c=r,cluster=2,d=5 SELECT 1", QueryError::UnterminatedComment)]
+#[case::end_overlaps_start("/*/id=a,c=r,cluster=2,d=5*/ SELECT 1", QueryError::UnterminatedComment)]
+#[case::no_statement("/*id=a,c=r,cluster=2,d=5*/ ;", QueryError::NoStatement)]
+#[case::empty_comment("/**/ SELECT 1", QueryError::NotNameAndValue)]
+#[case::comma_at_the_end("/*id=a,c=r,cluster=2,d=5,*/ SELECT 1", QueryError::NotNameAndValue)]
+#[case::empty_value("/*id= ,c=r,cluster=2,d=5*/ SELECT 1", QueryError::EmptyOrRepeatedValue)]
+#[case::repeated("/*id=a,c=r,cluster=2,d=5,id=a*/ SELECT 1", QueryError::EmptyOrRepeatedValue)]
+#[case::no_id("/*c=r,cluster=2,d=5*/ SELECT 1", QueryError::NoId)]
+#[case::no_class("/*id=a,cluster=2,d=5*/ SELECT 1", QueryError::NoClass)]
+#[case::no_group("/*id=a,c=r,d=5*/ SELECT 1", QueryError::NoGroup)]
+#[case::negative_group("/*id=a,c=r,cluster=-1,d=5*/ SELECT 1", QueryError::NoGroup)]
+#[case::no_timeout("/*id=a,c=r,cluster=2*/ SELECT 1", QueryError::NoTimeout)]
+#[case::zero_timeout("/*id=a,c=r,cluster=2,d=0*/ SELECT 1", QueryError::InvalidTimeout)]
+#[case::signed_timeout("/*id=a,c=r,cluster=2,d=+5*/ SELECT 1", QueryError::InvalidTimeout)]
+#[case::long_timeout("/*id=a,c=r,cluster=2,d=0000000000000005*/ SELECT 1", QueryError::InvalidTimeout)]
+#[case::token("/*id=a,c=r,cluster=2,d=5,after=x*/ SELECT 1", QueryError::InvalidSessionToken)]
+fn bad_query_is_rejected(#[case] sql: &str, #[case] expected: QueryError) {
+    assert_eq!(parse(sql).unwrap_err(), expected);
+}
+
+/// Of several errors, the first in this order is reported.
+#[rstest]
+#[case::missing_timeout_first("/*after=x*/ SELECT 1", QueryError::NoTimeout)]
+#[case::then_the_token("/*d=0,after=x*/ SELECT 1", QueryError::InvalidSessionToken)]
+#[case::then_the_group("/*d=0,cluster=x*/ SELECT 1", QueryError::NoGroup)]
+#[case::then_the_id("/*d=0,cluster=2*/ SELECT 1", QueryError::NoId)]
+#[case::then_the_class("/*d=0,cluster=2,id=a*/ SELECT 1", QueryError::NoClass)]
+#[case::then_the_value_of_the_timeout("/*d=0,cluster=2,id=a,c=r*/ SELECT 1", QueryError::InvalidTimeout)]
+fn errors_are_reported_in_a_fixed_order(#[case] sql: &str, #[case] expected: QueryError) {
+    assert_eq!(parse(sql).unwrap_err(), expected);
+}
+
+#[rstest]
+#[case(QueryError::InvalidText, "a query must be UTF-8 and end with its only zero")]
+#[case(QueryError::NoComment, "no leading comment")]
+#[case(QueryError::UnterminatedComment, "the comment does not end")]
+#[case(QueryError::NoStatement, "no statement behind the comment")]
+#[case(QueryError::NotNameAndValue, "the comment is not made of names and values")]
+#[case(QueryError::EmptyOrRepeatedValue, "a value of the comment is empty or there twice")]
+#[case(QueryError::NoId, "no id in the comment")]
+#[case(QueryError::NoClass, "no class in the comment")]
+#[case(QueryError::NoGroup, "no group number in the comment")]
+#[case(QueryError::NoTimeout, "no d in the comment")]
+#[case(QueryError::InvalidTimeout, "d is not a number of milliseconds above 0")]
+#[case(QueryError::InvalidSessionToken, "after is not a time in milliseconds")]
+fn error_texts_that_clients_receive_are_fixed(#[case] error: QueryError, #[case] expected: &str) {
+    assert_eq!(error.to_string(), expected);
+}
+
+#[test]
+fn random_bytes_never_panic() {
+    let mut rng = fastrand::Rng::with_seed(SEED);
+    for _ in 0..5000 {
+        let body = random_bytes(&mut rng, 60);
+        let _ = parse_query(&body);
+        let _ = parse_query(&[&body[..], b"\0"].concat());
+    }
+}
+
+/// Puts parts of queries together at random, which reaches further into the parser than random bytes.
+#[test]
+fn random_parts_never_panic_and_the_timeout_stays_a_number() {
+    const PARTS: [&str; 24] = [
+        "/*", "*/", "id", "c", "t", "cluster", "d", "k", "r", "after", "=", "=", ",", ",", " ", "é", "'",
+        ";", "1", "0", "500", "x", "\0", "\u{3000}",
+    ];
+    let mut rng = fastrand::Rng::with_seed(SEED);
+    for _ in 0..5000 {
+        let count = rng.usize(..12);
+        let fields: String = (0..count).map(|_| PARTS[rng.usize(..PARTS.len())]).collect();
+        let _ = parse(&fields);
+        let sql = format!("/*id=a,c=r,{fields},cluster=2,d= 500 */ SELECT 1");
+        if let Ok(ParsedQuery::Query(query)) = parse(&sql) {
+            assert!(timeout_text(&query).bytes().all(|byte| byte.is_ascii_digit()), "{sql}");
+        }
+    }
+}
