--- /dev/null
+++ b/src/net/frontend/acceptor.rs
@@ -0,0 +1,160 @@
+//! Accepts client connections up to the connection limit.
+
+use std::io::{self, ErrorKind};
+use std::ops::ControlFlow;
+
+use mio::net::{TcpListener, TcpStream};
+use mio::Interest;
+
+use super::connection::Connection;
+use super::log_limiter::LogLimiter;
+use super::Frontend;
+use crate::net::postgres::CancelKey;
+use crate::net::reactor::{ConnectionId, EventSource, TimerEvent};
+use crate::net::{log, Context};
+
+/// Delay before accepting again after the system had no descriptor or memory for a connection (seconds).
+const ACCEPT_RETRY_DELAY: f64 = 0.1;
+
+/// The listening socket and what keeps it from accepting.
+pub(super) struct Acceptor {
+    /// None once the shutdown has started.
+    listener: Option<TcpListener>,
+    /// Whether connections wait in the listener's queue until there is room.
+    connections_wait: bool,
+    log_limiter: LogLimiter,
+}
+
+impl Acceptor {
+    /// Registers the listener with the reactor.
+    pub(super) fn new(mut listener: TcpListener, context: &mut Context) -> io::Result<Acceptor> {
+        let token = EventSource::Listener.into();
+        context.reactor.registry.register(&mut listener, token, Interest::READABLE)?;
+        Ok(Acceptor { listener: Some(listener), connections_wait: false, log_limiter: LogLimiter::default() })
+    }
+
+    /// Closes the listening socket.
+    pub(super) fn close(&mut self) {
+        self.listener = None;
+    }
+
+    fn is_open(&self) -> bool {
+        self.listener.is_some()
+    }
+}
+
+/// Where a new connection can be placed.
+enum Room {
+    /// The connection limit is not reached.
+    Available,
+    /// The limit is reached, but this connection can be closed in favour of a new one.
+    Replace(ConnectionId),
+    /// The limit is reached and all connections are busy.
+    Full,
+}
+
+impl Frontend {
+    /// Accepts all connections that wait, as far as there is room.
+    pub fn accept(&mut self, context: &mut Context) {
+        while self.acceptor.is_open() {
+            if self.accept_next(context).is_break() {
+                return;
+            }
+        }
+    }
+
+    /// Accepts again if connections were left waiting. The listener is edge-triggered and does not announce
+    /// them a second time.
+    pub(super) fn resume_accepting(&mut self, context: &mut Context) {
+        if self.acceptor.connections_wait {
+            self.acceptor.connections_wait = false;
+            self.accept(context);
+        }
+    }
+
+    /// Accepts one connection. Breaks when no more can be accepted for now.
+    fn accept_next(&mut self, context: &mut Context) -> ControlFlow<()> {
+        let now = context.reactor.now();
+        let replaced = match self.find_room() {
+            Room::Available => None,
+            Room::Replace(id) => {
+                // Input that has arrived by now makes the connection busy.
+                self.ready(id, context);
+                if !self.is_replaceable(id) {
+                    return ControlFlow::Continue(());
+                }
+                Some(id)
+            }
+            Room::Full => {
+                self.acceptor.connections_wait = true;
+                self.warn_all_busy(now);
+                return ControlFlow::Break(());
+            }
+        };
+        let Some(listener) = &self.acceptor.listener else { return ControlFlow::Break(()) };
+        match listener.accept() {
+            Ok((stream, _)) => {
+                if let Some(id) = replaced {
+                    self.connections.remove(id);
+                }
+                self.add_connection(stream, context);
+                ControlFlow::Continue(())
+            }
+            Err(error) => self.handle_accept_error(&error, now, context),
+        }
+    }
+
+    fn handle_accept_error(&mut self, error: &io::Error, now: f64, context: &mut Context) -> ControlFlow<()> {
+        match error.kind() {
+            ErrorKind::WouldBlock => ControlFlow::Break(()),
+            // An aborted connection was closed by its client while it was still in the queue.
+            ErrorKind::ConnectionAborted | ErrorKind::Interrupted => ControlFlow::Continue(()),
+            _ => {
+                // There is no descriptor or no memory: the connection stays in the queue.
+                context.reactor.set_timer(now + ACCEPT_RETRY_DELAY, TimerEvent::RetryAccept);
+                if self.acceptor.log_limiter.permits(now) {
+                    log(format_args!("cannot accept: {error}"));
+                }
+                ControlFlow::Break(())
+            }
+        }
+    }
+
+    /// Looks for room for one connection. An idle connection is closed only once a new one is there, so the
+    /// new one uses a spare descriptor for a moment.
+    fn find_room(&self) -> Room {
+        if self.connections.len() < self.max_connections {
+            return Room::Available;
+        }
+        let closing = self.least_recently_active(|connection| connection.state.is_closing());
+        let replaced = closing.or_else(|| self.least_recently_active(Connection::is_idle));
+        replaced.map_or(Room::Full, Room::Replace)
+    }
+
+    fn is_replaceable(&mut self, id: ConnectionId) -> bool {
+        self.connections
+            .get_mut(id)
+            .is_some_and(|connection| connection.state.is_closing() || connection.is_idle())
+    }
+
+    fn warn_all_busy(&mut self, now: f64) {
+        if self.acceptor.log_limiter.permits(now) {
+            let clients = self.connections.len();
+            log(format_args!("{clients} clients, all busy: new connections wait"));
+        }
+    }
+
+    fn add_connection(&mut self, stream: TcpStream, context: &mut Context) {
+        let _ = stream.set_nodelay(true);
+        let cancel_key = CancelKey(self.rng.u32(..), self.rng.u32(..));
+        let connection = Connection::new(stream, cancel_key, &self.budget, context.reactor.now());
+        let id = self.connections.insert(connection);
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        if connection.register(id, context).is_err() {
+            self.connections.remove(id);
+            return;
+        }
+        context.counters.clients_accepted += 1;
+        self.ready(id, context);
+    }
+}
--- /dev/null
+++ b/src/net/frontend/connection.rs
@@ -0,0 +1,232 @@
+//! One client connection: its state, and the cycle that reads, processes and writes.
+
+use std::io;
+use std::net::Shutdown;
+
+use mio::net::TcpStream;
+use mio::Interest;
+
+use super::arrivals::ArrivalTimes;
+use super::deadline::ClientDeadline;
+use super::session::Progress;
+use super::ServiceStatus;
+use crate::net::buffer::{CapacityExceeded, MemoryBudget, ReadStatus, RingBuffer};
+use crate::net::postgres::{self, sqlstate, CancelKey, Startup};
+use crate::net::reactor::{ConnectionId, EventSource, TimerEvent};
+use crate::net::{Context, Event};
+
+/// The protocol state of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum State {
+    /// The client is to send its startup message.
+    Startup,
+    /// The client may send the next query.
+    Idle,
+    /// A message of the extended protocol was rejected: messages are ignored up to the next Sync.
+    SkippingToSync,
+    /// An empty query waits for a response until there is an endpoint.
+    AwaitingEndpoints,
+    /// A query waits for its response.
+    Busy,
+    /// The connection is being closed: input is discarded, pending output is still sent.
+    Closing {
+        /// Whether the sending direction has been shut down.
+        write_shut_down: bool,
+    },
+}
+
+impl State {
+    /// Returns whether the next message of the client is to be read.
+    pub(super) fn is_reading(self) -> bool {
+        matches!(self, State::Startup | State::Idle | State::SkippingToSync)
+    }
+
+    /// Returns whether the connection is being closed.
+    pub(super) fn is_closing(self) -> bool {
+        matches!(self, State::Closing { .. })
+    }
+}
+
+/// The connection is closed or broken and has to be removed.
+#[derive(Debug, thiserror::Error)]
+#[error("the client connection is closed")]
+pub(super) struct ConnectionClosed;
+
+impl From<CapacityExceeded> for ConnectionClosed {
+    fn from(_: CapacityExceeded) -> ConnectionClosed {
+        ConnectionClosed
+    }
+}
+
+impl From<io::Error> for ConnectionClosed {
+    fn from(_: io::Error) -> ConnectionClosed {
+        ConnectionClosed
+    }
+}
+
+/// A client connection.
+pub(super) struct Connection {
+    stream: TcpStream,
+    /// The key that a request to cancel the connection's query has to carry.
+    pub(super) cancel_key: CancelKey,
+    pub(super) input: RingBuffer,
+    pub(super) arrival_times: ArrivalTimes,
+    pub(super) output: RingBuffer,
+    pub(super) state: State,
+    /// Whether the client has sent a query that could be executed.
+    pub(super) has_queried: bool,
+    /// Whether a timer is set to poll again, since no event announces the input that is left.
+    pub(super) poll_scheduled: bool,
+    /// When the client last sent something or was last sent a response.
+    pub(super) last_active: f64,
+    pub(super) deadline: ClientDeadline,
+}
+
+impl Connection {
+    /// Creates the connection of a newly accepted client.
+    pub(super) fn new(stream: TcpStream, cancel_key: CancelKey, budget: &MemoryBudget, now: f64) -> Self {
+        Connection {
+            stream,
+            cancel_key,
+            input: RingBuffer::new(budget),
+            arrival_times: ArrivalTimes::default(),
+            output: RingBuffer::new(budget),
+            state: State::Startup,
+            has_queried: false,
+            poll_scheduled: false,
+            last_active: now,
+            deadline: ClientDeadline::default(),
+        }
+    }
+
+    /// Registers the socket with the reactor.
+    pub(super) fn register(&mut self, id: ConnectionId, context: &mut Context) -> io::Result<()> {
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        context.reactor.registry.register(&mut self.stream, EventSource::Client(id).into(), interest)
+    }
+
+    /// Reads, processes and writes as much as possible without blocking.
+    pub(super) fn poll(
+        &mut self,
+        id: ConnectionId,
+        service: ServiceStatus,
+        context: &mut Context,
+    ) -> Result<(), ConnectionClosed> {
+        let now = context.reactor.now();
+        self.poll_scheduled = false;
+        while !self.state.is_closing() {
+            let status = self.read_input(now)?;
+            let length_before = self.input.len();
+            if self.process_messages(id, service, context)? == Progress::TurnOver {
+                self.schedule_poll(id, now, context);
+                return Ok(());
+            }
+            // Events are edge-triggered: what a full buffer has left in the socket must be read now that there
+            // is room, since no event announces it again.
+            if status == ReadStatus::WouldBlock {
+                return Ok(());
+            }
+            if self.input.len() == length_before {
+                return self.handle_full_input(id, context);
+            }
+        }
+        self.flush()?;
+        self.discard_input(id, now, context)
+    }
+
+    /// Reads what has arrived and records when.
+    fn read_input(&mut self, now: f64) -> Result<ReadStatus, ConnectionClosed> {
+        let received_before = self.input.total_received();
+        let status = self.input.read_from(&mut self.stream)?;
+        if status == ReadStatus::Completion {
+            return Err(ConnectionClosed);
+        }
+        let received = self.input.total_received();
+        self.arrival_times.record(received, self.input.total_consumed(), now);
+        if received > received_before {
+            self.last_active = now;
+        }
+        Ok(status)
+    }
+
+    /// Handles a full input buffer of which nothing could be processed. If the client is to send the rest of a
+    /// message, that rest will never fit: the connection is closed, so that it does not keep its memory.
+    fn handle_full_input(&mut self, id: ConnectionId, context: &mut Context) -> Result<(), ConnectionClosed> {
+        if self.state.is_reading() && self.output.is_empty() {
+            return self.send_fatal_error(id, sqlstate::OUT_OF_MEMORY, "no memory", context);
+        }
+        Ok(())
+    }
+
+    /// Discards what has arrived, at most one buffer for each poll: a client that sends without pause must not
+    /// block the event loop.
+    fn discard_input(
+        &mut self,
+        id: ConnectionId,
+        now: f64,
+        context: &mut Context,
+    ) -> Result<(), ConnectionClosed> {
+        match self.input.read_from(&mut self.stream)? {
+            ReadStatus::Completion => return Err(ConnectionClosed),
+            ReadStatus::Full if !self.input.is_empty() => self.schedule_poll(id, now, context),
+            ReadStatus::Full | ReadStatus::WouldBlock => {}
+        }
+        self.input.skip(self.input.len());
+        Ok(())
+    }
+
+    /// Polls again after the other connections have had their turn.
+    fn schedule_poll(&mut self, id: ConnectionId, now: f64, context: &mut Context) {
+        self.poll_scheduled = true;
+        context.reactor.set_timer(now, TimerEvent::Client(id));
+    }
+
+    /// Writes the output buffer to the socket. Returns whether all of it is written.
+    pub(super) fn flush(&mut self) -> Result<bool, ConnectionClosed> {
+        let length_before = self.output.len();
+        let is_flushed = self.output.write_to(&mut self.stream)?;
+        match self.state {
+            State::Closing { write_shut_down: false } if is_flushed => self.shut_down_write(),
+            State::Closing { .. } => {}
+            // A client that reads slowly does read: its time starts anew.
+            _ if !is_flushed && self.output.len() < length_before => self.deadline.clear(),
+            _ => {}
+        }
+        Ok(is_flushed)
+    }
+
+    /// Ends the sending direction only. Closing the socket with unread input would reset the connection, and
+    /// the client might lose the last message.
+    ///
+    /// To be done once: each shutdown raises an event for this connection, which would be polled endlessly.
+    fn shut_down_write(&mut self) {
+        let _ = self.stream.shutdown(Shutdown::Write);
+        self.state = State::Closing { write_shut_down: true };
+    }
+
+    /// Reads a cancel request from a connection that is removed before it was processed: its client may close
+    /// the connection right after sending the request.
+    pub(super) fn read_final_cancel_request(&mut self, context: &mut Context) {
+        if self.state != State::Startup {
+            return;
+        }
+        let _ = self.input.read_from(&mut self.stream);
+        if let Ok(Some(Startup::Cancel(key))) = postgres::read_startup(&mut self.input) {
+            context.events.push_back(Event::CancelRequested(key));
+        }
+    }
+
+    /// Returns whether the connection is between queries, with no input or output pending.
+    pub(super) fn is_idle(&self) -> bool {
+        self.state.is_reading() && self.input.is_empty() && self.output.is_empty()
+    }
+
+    /// Returns whether the connection can be closed in a graceful shutdown: every query received is answered,
+    /// although the answer may be still to be written. An incomplete message is not a query.
+    pub(super) fn can_close(&self) -> bool {
+        if self.state == State::Busy || self.state.is_closing() || self.poll_scheduled {
+            return false;
+        }
+        self.output.is_empty() || self.input.is_empty()
+    }
+}
--- /dev/null
+++ b/src/net/frontend/mod.rs
@@ -0,0 +1,213 @@
+//! The client side of the pooler: accepts connections, reads queries and writes responses.
+//!
+//! - [`acceptor`]: accepts new connections up to the connection limit.
+//! - [`connection`]: one client connection and its read, process and write cycle.
+//! - [`session`]: what each message of a client leads to.
+//! - [`response`]: writes responses and errors to the output buffer.
+//! - [`deadline`]: limits the time that a client may take.
+//! - [`idle`]: closes idle connections when many are open.
+//! - [`arrivals`]: remembers when input was received.
+//! - [`log_limiter`]: limits how often a warning is logged.
+
+mod acceptor;
+mod arrivals;
+mod connection;
+mod deadline;
+mod idle;
+mod log_limiter;
+mod response;
+mod session;
+
+use std::io;
+
+use mio::net::TcpListener;
+
+use super::buffer::MemoryBudget;
+use super::postgres::CancelKey;
+use super::reactor::{ConnectionId, ConnectionTable, TimerEvent};
+use super::{Context, Event, Response};
+use crate::counters::Counters;
+use acceptor::Acceptor;
+use connection::{Connection, ConnectionClosed, State};
+
+/// Whether the pooler can execute queries.
+#[derive(Clone, Copy, Default)]
+struct ServiceStatus {
+    /// Set once there is an endpoint to which queries can be sent.
+    ready: bool,
+    /// When the shutdown started. Queries received later are rejected.
+    shutdown_started_at: Option<f64>,
+}
+
+/// All client connections, and the acceptor of new ones.
+pub(crate) struct Frontend {
+    acceptor: Acceptor,
+    connections: ConnectionTable<Connection>,
+    max_connections: usize,
+    /// Limits the memory of all connections together.
+    budget: MemoryBudget,
+    service: ServiceStatus,
+    /// Generates the keys for cancel requests.
+    rng: fastrand::Rng,
+}
+
+impl Frontend {
+    /// Registers the listener and starts the idle sweep. Accepts at most `max_connections` at a time.
+    pub fn new(
+        listener: TcpListener,
+        max_connections: usize,
+        budget: MemoryBudget,
+        seed: u64,
+        context: &mut Context,
+    ) -> io::Result<Frontend> {
+        let acceptor = Acceptor::new(listener, context)?;
+        context.reactor.set_timer(context.reactor.now() + idle::IDLE_SWEEP_INTERVAL, TimerEvent::IdleSweep);
+        Ok(Frontend {
+            acceptor,
+            connections: ConnectionTable::new(),
+            max_connections,
+            budget,
+            service: ServiceStatus::default(),
+            rng: fastrand::Rng::with_seed(seed),
+        })
+    }
+
+    /// Returns whether no client is connected.
+    pub fn is_empty(&self) -> bool {
+        self.connections.len() == 0
+    }
+
+    /// Handles a connection that has become readable or writable.
+    pub fn ready(&mut self, id: ConnectionId, context: &mut Context) {
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        let result = connection.poll(id, self.service, context);
+        self.finish_poll(id, result, context);
+    }
+
+    /// Handles a connection that its client has closed. Unread input is lost.
+    pub fn client_disconnected(&mut self, id: ConnectionId, context: &mut Context) {
+        self.finish_poll(id, Err(ConnectionClosed), context);
+    }
+
+    /// Handles a timer of a connection: polls it again, or closes it if its client has missed its deadline.
+    pub fn timer_expired(&mut self, id: ConnectionId, context: &mut Context) {
+        let now = context.reactor.now();
+        if self.connections.get_mut(id).is_some_and(|connection| connection.poll_scheduled) {
+            self.ready(id, context);
+        }
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        // Timers are not cancelled: this one may belong to an earlier deadline.
+        if !connection.deadline.has_expired(now) {
+            return;
+        }
+        let result = connection
+            .handle_missed_deadline(id, context)
+            .and_then(|()| connection.poll(id, self.service, context));
+        self.finish_poll(id, result, context);
+    }
+
+    /// Sends the final response to the query of a connection.
+    pub fn respond(&mut self, id: ConnectionId, response: Response, context: &mut Context) {
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        if connection.state != State::Busy {
+            return;
+        }
+        count_response(&response, &mut context.counters);
+        connection.last_active = context.reactor.now();
+        let result = connection.respond(response).and_then(|()| connection.poll(id, self.service, context));
+        self.finish_poll(id, result, context);
+    }
+
+    /// Returns the connection whose running query a cancel request with this key refers to.
+    pub fn find_by_cancel_key(&self, key: CancelKey) -> Option<ConnectionId> {
+        self.connections
+            .iter()
+            .find(|(_, connection)| connection.cancel_key == key && connection.state == State::Busy)
+            .map(|(id, _)| id)
+    }
+
+    /// Marks the pooler as able to execute queries and responds to the empty queries that wait for that.
+    pub fn set_ready(&mut self, context: &mut Context) {
+        if self.service.ready {
+            return;
+        }
+        self.service.ready = true;
+        let waiting: Vec<ConnectionId> = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| connection.state == State::AwaitingEndpoints)
+            .map(|(id, _)| id)
+            .collect();
+        for id in waiting {
+            self.respond_to_empty_query(id, context);
+        }
+    }
+
+    fn respond_to_empty_query(&mut self, id: ConnectionId, context: &mut Context) {
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        connection.last_active = context.reactor.now();
+        let result =
+            connection.respond_to_empty_query().and_then(|()| connection.poll(id, self.service, context));
+        self.finish_poll(id, result, context);
+    }
+
+    /// Stops accepting and closes each connection as soon as all its queries are answered.
+    pub fn start_shutdown(&mut self, context: &mut Context) {
+        // Connections and queries that have arrived by now are still served.
+        self.accept(context);
+        self.acceptor.close();
+        self.service.shutdown_started_at = Some(context.reactor.now());
+        let all: Vec<ConnectionId> = self.connections.iter().map(|(id, _)| id).collect();
+        for id in all {
+            self.ready(id, context);
+        }
+    }
+
+    /// Completes a poll: closes a drained connection during the shutdown, updates the client's deadline,
+    /// removes a connection that is closed and accepts waiting connections if there may be room now.
+    fn finish_poll(
+        &mut self,
+        id: ConnectionId,
+        mut result: Result<(), ConnectionClosed>,
+        context: &mut Context,
+    ) {
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        let is_busy = connection.state == State::Busy;
+        if self.service.shutdown_started_at.is_some() && result.is_ok() && connection.can_close() {
+            connection.start_closing(id, context);
+            result = connection.poll(id, self.service, context);
+        }
+        connection.update_deadline(id, context);
+        let is_closed = result.is_err();
+        if is_closed {
+            if is_busy {
+                context.events.push_back(Event::ClientDisconnected(id));
+            }
+            connection.read_final_cancel_request(context);
+            self.connections.remove(id);
+        }
+        if is_closed || !is_busy {
+            self.resume_accepting(context);
+        }
+    }
+
+    /// Returns the matching connection that has been inactive for longest.
+    fn least_recently_active(&self, matches: impl Fn(&Connection) -> bool) -> Option<ConnectionId> {
+        self.connections
+            .iter()
+            .filter(|(_, connection)| matches(connection))
+            .min_by(|(_, a), (_, b)| a.last_active.total_cmp(&b.last_active))
+            .map(|(id, _)| id)
+    }
+}
+
+fn count_response(response: &Response, counters: &mut Counters) {
+    let counter = match response {
+        Response::Value(_) => &mut counters.served,
+        Response::Rejected { .. } => &mut counters.rejected,
+        Response::Failed => &mut counters.failed,
+        Response::Cancelled => &mut counters.cancel_requests,
+        Response::Invalid(_) => &mut counters.malformed,
+    };
+    *counter += 1;
+}
--- a/src/net/pooler.rs
+++ b/src/net/pooler.rs
@@ -123,9 +123,9 @@
                 Event::QueryReceived(client, query) => self.asked(client, *query, context),
                 Event::ClientDisconnected(client) => self.gone(client, context),
                 Event::CancelRequested(key) => {
-                    if let Some(client) = self.frontend.asker(key) {
+                    if let Some(client) = self.frontend.find_by_cancel_key(key) {
                         self.gone(client, context);
-                        self.frontend.answer(client, Response::Cancelled, context);
+                        self.frontend.respond(client, Response::Cancelled, context);
                     }
                 }
                 Event::TaskCompleted(ended) => self.ended(*ended, context),
@@ -183,15 +183,15 @@
         let class = self.classes.iter().position(|(name, ..)| *name == query.class);
         let Some((class, (_, consistency, idempotency))) = class.map(|class| (class, &self.classes[class]))
         else {
-            return self.frontend.answer(client, Response::Invalid("unknown class"), context);
+            return self.frontend.respond(client, Response::Invalid("unknown class"), context);
         };
         if *idempotency == Idempotency::IdempotencyKey && !query.has_idempotency_key {
-            return self.frontend.answer(client, Response::Invalid("this class needs a key"), context);
+            return self.frontend.respond(client, Response::Invalid("this class needs a key"), context);
         }
         let id = RequestId::from(query.id);
         // Two requests of one id could not be told apart, and the database host would see a second copy.
         if self.requests.contains_key(&id) {
-            return self.frontend.answer(client, Response::Invalid("this id is in use"), context);
+            return self.frontend.respond(client, Response::Invalid("this id is in use"), context);
         }
         context.counters.requests_received += 1;
         let sessions = matches!(consistency, Consistency::Write | Consistency::Session);
@@ -238,7 +238,7 @@
         let client = self.requests.get_mut(id).and_then(|request| request.client.take());
         if let Some(client) = client {
             self.asking.remove(&client);
-            self.frontend.answer(client, answer, context);
+            self.frontend.respond(client, answer, context);
         }
         self.forget(id);
     }
@@ -295,7 +295,7 @@
         let endpoints = endpoints.into_iter().map(|listed| self.entry(listed)).collect();
         self.tell(interface::Event::Endpoints { kind, endpoints }, context);
         if any {
-            self.frontend.serve(context);
+            self.frontend.set_ready(context);
         }
     }
 
@@ -343,7 +343,7 @@
         match source {
             EventSource::Listener => self.frontend.accept(context),
             EventSource::Signals => self.signal(context),
-            EventSource::Client(slot) if hung_up => self.frontend.hung_up(slot, context),
+            EventSource::Client(slot) if hung_up => self.frontend.client_disconnected(slot, context),
             EventSource::Client(slot) => self.frontend.ready(slot, context),
             EventSource::Server(slot) => self.backend.ready(slot, context),
             EventSource::Discovery(slot) => self.discovery.ready(slot, context),
@@ -355,13 +355,13 @@
         match due {
             TimerEvent::Policy(cookie) => self.tell(interface::Event::Timer { cookie }, context),
             TimerEvent::RetryAccept => self.frontend.accept(context),
-            TimerEvent::IdleSweep => self.frontend.sweep(context),
+            TimerEvent::IdleSweep => self.frontend.close_idle(context),
             TimerEvent::Client(slot) => self.frontend.timer_expired(slot, context),
             TimerEvent::Server(slot) => self.backend.timer_expired(slot, context),
             TimerEvent::Discovery(slot) => self.discovery.timer_expired(slot, context),
             TimerEvent::GracePeriodOver => {
                 self.closing = true;
-                self.frontend.close(context);
+                self.frontend.start_shutdown(context);
             }
         }
         self.drain(context);
