--- a/src/net/frontend/arrivals.rs
+++ b/src/net/frontend/arrivals.rs
@@ -47,3 +47,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/frontend/log_limiter.rs
+++ b/src/net/frontend/log_limiter.rs
@@ -17,3 +17,6 @@
         permitted
     }
 }
+
+#[cfg(test)]
+mod tests;
