--- a/src/cli.rs
+++ b/src/cli.rs
@@ -50,6 +50,7 @@
     let Args { command } = argh::from_env();
     let result = match command {
         Command::Serve(Serve { config }) => load(config).and_then(|(path, config)| {
+            crate::logging::init();
             crate::net::serve(&config, &path).map_err(|error| format!("cannot serve: {error}"))
         }),
         Command::Version(Version {}) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 mod endpoint_list;
 pub mod interface;
 mod load_report;
+mod logging;
 mod net;
 mod policy;
 pub mod settings;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -257,7 +257,7 @@
             self.watches.remove(slot);
         }
         if self.trouble.replace(why) != Some(why) {
-            super::log(format_args!("discovery: {why}"));
+            tracing::warn!(error = %why, "endpoint watch failed");
         }
         context.events.push_back(Event::EndpointsUpdated(UpdateKind::WatchFailed, Vec::new()));
     }
--- a/src/net/frontend/acceptor.rs
+++ b/src/net/frontend/acceptor.rs
@@ -11,7 +11,7 @@
 use super::Frontend;
 use crate::net::postgres::CancelKey;
 use crate::net::reactor::{ConnectionId, EventSource, TimerEvent};
-use crate::net::{log, Context};
+use crate::net::Context;
 
 /// Delay before accepting again after the system had no descriptor or memory for a connection (seconds).
 const ACCEPT_RETRY_DELAY: f64 = 0.1;
@@ -113,7 +113,7 @@
                 // There is no descriptor or no memory: the connection stays in the queue.
                 context.reactor.set_timer(now + ACCEPT_RETRY_DELAY, TimerEvent::RetryAccept);
                 if self.acceptor.log_limiter.permits(now) {
-                    log(format_args!("cannot accept: {error}"));
+                    tracing::warn!(%error, "cannot accept a connection");
                 }
                 ControlFlow::Break(())
             }
@@ -140,7 +140,7 @@
     fn warn_all_busy(&mut self, now: f64) {
         if self.acceptor.log_limiter.permits(now) {
             let clients = self.connections.len();
-            log(format_args!("{clients} clients, all busy: new connections wait"));
+            tracing::warn!(clients, "all client connections are busy: new connections wait");
         }
     }
 
--- a/src/net/frontend/response.rs
+++ b/src/net/frontend/response.rs
@@ -16,7 +16,9 @@
             Response::Cancelled => {
                 self.send_error(sqlstate::QUERY_CANCELED, "cancelled as its client asked", None)
             }
-            Response::Invalid(message) => self.send_error(sqlstate::INVALID_PARAMETER_VALUE, message, None),
+            Response::Invalid(reason) => {
+                self.send_error(sqlstate::INVALID_PARAMETER_VALUE, &reason.to_string(), None)
+            }
         }
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,5 @@
-//! The pooler on its sockets. It moves bytes and keeps connections; what is sent where is decided by
-//! [`Policy`](crate::Policy).
+//! The network side of the pooler: sockets, wire protocols and timers. It moves bytes and keeps connections;
+//! [`Policy`](crate::Policy) decides what is sent where.
 
 mod backend;
 mod buffer;
@@ -11,23 +11,18 @@
 mod reactor;
 
 use std::collections::VecDeque;
-use std::fmt;
-use std::io::{self, Write};
 
 use crate::counters::Counters;
 use messages::{Completion, Event, Query, Response, Statement, Task};
 pub(crate) use pooler::serve;
 use reactor::Reactor;
 
-/// What every callback of the reactor is handed.
+/// The state that all callbacks of the reactor share.
 pub(crate) struct Context {
+    /// Registers sockets, sets timers and tells the time.
     reactor: Reactor,
-    /// Events that are yet to be handled; each waits until the actions of the one before it are carried out.
+    /// Events that are still to be handled, in their order.
     events: VecDeque<Event>,
+    /// What has happened since the start.
     counters: Counters,
 }
-
-/// Writes a line to the log. A log that nobody reads any more is no reason to end.
-fn log(line: fmt::Arguments) {
-    let _ = writeln!(io::stderr(), "{line}");
-}
--- /dev/null
+++ b/src/net/pooler/actions.rs
@@ -0,0 +1,69 @@
+//! Executes the actions of the policy.
+
+use super::Pooler;
+use crate::interface::{Action, EndpointId, RequestId, StateChange};
+use crate::net::reactor::TimerEvent;
+use crate::net::{Context, Response, Task};
+
+impl Pooler {
+    /// Executes actions in their order.
+    pub(super) fn execute(&mut self, actions: Vec<Action>, context: &mut Context) {
+        for action in actions {
+            self.execute_one(action, context);
+        }
+    }
+
+    fn execute_one(&mut self, action: Action, context: &mut Context) {
+        match action {
+            Action::Send { id, endpoint, timeout } => self.send_attempt(id, &endpoint, timeout, context),
+            Action::CancelAttempt { id, attempt } => {
+                if let Some(connection) = self.requests.connection_of_attempt(&id, attempt) {
+                    self.cancel_attempt(connection, context);
+                }
+            }
+            Action::Reject { id, retry_after } => {
+                self.finish_request(&id, Response::Rejected { retry_after }, context)
+            }
+            Action::Fail { id } => self.finish_request(&id, Response::Failed, context),
+            Action::SetTimer { at, cookie } => context.reactor.set_timer(at, TimerEvent::Policy(cookie)),
+            Action::HealthCheck { endpoint } => self.send_health_check(&endpoint, context),
+            Action::CloseIdleConnections { endpoint } => self.backend.let_go(&endpoint),
+            Action::Watch => self.discovery.listen(context),
+            Action::Log(change) => log_state_change(&change),
+        }
+    }
+
+    fn send_attempt(&mut self, id: RequestId, endpoint: &EndpointId, timeout: f64, context: &mut Context) {
+        let Some(attempt) = self.requests.start_attempt(&id) else { return };
+        context.counters.attempts_sent += 1;
+        let task = Task::Attempt(id.clone(), attempt.number, attempt.statement);
+        let connection = self.backend.send(task, endpoint, timeout, context);
+        self.requests.attempt_sent(&id, attempt.number, connection);
+    }
+
+    fn send_health_check(&mut self, endpoint: &EndpointId, context: &mut Context) {
+        context.counters.health_checks_sent += 1;
+        self.backend.send(Task::HealthCheck, endpoint, self.health_check_timeout, context);
+    }
+
+    /// Sends the final answer to a request, unless its client has one or has disconnected.
+    pub(super) fn finish_request(&mut self, id: &RequestId, response: Response, context: &mut Context) {
+        if let Some(client) = self.requests.take_client(id) {
+            self.respond(client, response, context);
+        }
+        self.requests.remove_if_finished(id);
+    }
+}
+
+/// Logs a change of the policy's state: as a warning where an operator may have to act.
+fn log_state_change(change: &StateChange) {
+    match change {
+        StateChange::WatchLost
+        | StateChange::Ejected(_)
+        | StateChange::SheddingLoad
+        | StateChange::PrimaryChanged { primary: None, .. } => tracing::warn!("{change}"),
+        StateChange::WatchRestored
+        | StateChange::Reinstated(_)
+        | StateChange::PrimaryChanged { primary: Some(_), .. } => tracing::info!("{change}"),
+    }
+}
--- /dev/null
+++ b/src/net/pooler/completions.rs
@@ -0,0 +1,66 @@
+//! Handles the ends of attempts and health checks.
+
+use super::request_table::ClientState;
+use super::Pooler;
+use crate::interface::{self, AttemptResult, Outcome, RequestId};
+use crate::net::messages::InvalidQuery;
+use crate::net::{Completion, Context, Response, Task};
+
+impl Pooler {
+    /// Reports the end of a task to the policy and answers the client if the end decides its request.
+    pub(super) fn on_task_completed(&mut self, completion: Completion, context: &mut Context) {
+        match &completion.task {
+            Task::HealthCheck => self.on_health_check_completed(completion, context),
+            Task::Attempt(id, number, _) => {
+                let (id, number) = (id.clone(), *number);
+                self.on_attempt_completed(id, number, completion, context);
+            }
+        }
+    }
+
+    fn on_health_check_completed(&mut self, completion: Completion, context: &mut Context) {
+        let Completion { endpoint, outcome, report, .. } = completion;
+        context.counters.health_check_outcomes.record(outcome);
+        self.notify_policy(interface::Event::HealthChecked { endpoint, outcome, report }, context);
+    }
+
+    fn on_attempt_completed(
+        &mut self,
+        id: RequestId,
+        attempt: usize,
+        completion: Completion,
+        context: &mut Context,
+    ) {
+        let outcome = completion.outcome;
+        context.counters.attempt_outcomes.record(outcome);
+        let Some(client) = self.requests.attempt_finished(&id) else { return };
+        let response = final_response(outcome, completion.value);
+        let result = AttemptResult {
+            id: id.clone(),
+            endpoint: completion.endpoint,
+            attempt,
+            outcome,
+            request_finished: response.is_some() || client == ClientState::Gone,
+            elapsed: completion.elapsed,
+            log_position: completion.log_position,
+            primary: completion.primary,
+            report: completion.report,
+        };
+        // The policy learns what the answer tells about the host before the client can act on the answer.
+        let actions = self.decide(interface::Event::AttemptFinished(result), context);
+        match response {
+            Some(response) => self.finish_request(&id, response, context),
+            None => self.requests.remove_if_finished(&id),
+        }
+        self.execute(actions, context);
+    }
+}
+
+/// The final answer to a request whose attempt ended like this; none where the policy decides.
+fn final_response(outcome: Outcome, value: Vec<u8>) -> Option<Response> {
+    match outcome {
+        Outcome::Success => Some(Response::Value(value)),
+        Outcome::InvalidRequest => Some(Response::Invalid(InvalidQuery::RejectedByHost)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/net/pooler/endpoints.rs
@@ -0,0 +1,41 @@
+//! Handles updates of the endpoint list.
+
+use super::Pooler;
+use crate::endpoint_list::ListedEndpoint;
+use crate::interface::{self, Endpoint, EndpointStatus, UpdateKind};
+use crate::net::Context;
+
+impl Pooler {
+    /// Takes over an update of the endpoint list, or reports to the policy that the watch has failed.
+    pub(super) fn on_endpoints_updated(
+        &mut self,
+        kind: UpdateKind,
+        endpoints: Vec<ListedEndpoint>,
+        context: &mut Context,
+    ) {
+        if kind == UpdateKind::WatchFailed {
+            context.counters.watch_failures += 1;
+        } else {
+            context.counters.endpoint_updates += 1;
+            self.backend.list(kind, &endpoints, context.reactor.now());
+        }
+        let any_serving = endpoints.iter().any(|listed| listed.status == EndpointStatus::Serving);
+        let endpoints = endpoints.into_iter().map(|listed| self.endpoint(listed)).collect();
+        self.notify_policy(interface::Event::Endpoints { kind, endpoints }, context);
+        if any_serving {
+            self.frontend.set_ready(context);
+        }
+    }
+
+    /// The entry in the form that the policy takes.
+    fn endpoint(&self, listed: ListedEndpoint) -> Endpoint {
+        let ListedEndpoint { name, zone, group, status, started_at, primary, .. } = listed;
+        Endpoint { id: name, zone: self.zone(&zone), group, status, started_at, primary }
+    }
+
+    /// The number of a zone. A zone that the settings do not name is at least not the pooler's own.
+    fn zone(&self, name: &str) -> u32 {
+        let known = self.zones.iter().position(|zone| zone == name);
+        known.unwrap_or(self.zones.len()) as u32
+    }
+}
--- /dev/null
+++ b/src/net/pooler/mod.rs
@@ -0,0 +1,128 @@
+//! Connects the [`Policy`] to the sockets.
+//!
+//! The connections report [`Event`]s. The pooler translates them for the policy and executes the actions that
+//! the policy returns. The policy takes every decision except those that the limits of the process force.
+
+mod actions;
+mod completions;
+mod endpoints;
+mod queries;
+mod request_table;
+mod signals;
+mod startup;
+
+use std::path::PathBuf;
+
+use signal_hook_mio::v1_0::Signals;
+
+use super::backend::Backend;
+use super::discovery::Discovery;
+use super::frontend::Frontend;
+use super::reactor::{ConnectionId, EventSource, Handler, TimerEvent};
+use super::{Context, Event, Response};
+use crate::interface::{self, Action};
+use crate::Policy;
+use queries::QueryTranslator;
+use request_table::RequestTable;
+pub(crate) use startup::serve;
+
+/// How far the graceful shutdown has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ShutdownState {
+    /// No shutdown was requested.
+    Running,
+    /// A shutdown was requested. Connections and queries are still accepted.
+    GracePeriod,
+    /// No connection is accepted any more. Each open one is closed once its queries are answered.
+    Closing,
+}
+
+/// The pooler: the policy and the connections that it decides about.
+struct Pooler {
+    policy: Policy,
+    frontend: Frontend,
+    backend: Backend,
+    discovery: Discovery,
+    signals: Signals,
+    requests: RequestTable,
+    queries: QueryTranslator,
+    /// The names of the zones, in the order of the settings.
+    zones: Vec<String>,
+    /// The timeout of a health check (seconds).
+    health_check_timeout: f64,
+    /// The configuration file, for reloads.
+    config_path: PathBuf,
+    shutdown: ShutdownState,
+}
+
+impl Pooler {
+    /// Handles the queued events. Each event is handled only after all actions that follow from the one
+    /// before it are executed.
+    fn process_events(&mut self, context: &mut Context) {
+        while let Some(event) = context.events.pop_front() {
+            match event {
+                Event::QueryReceived(client, query) => self.on_query(client, *query, context),
+                Event::ClientDisconnected(client) => self.on_client_disconnected(client, context),
+                Event::CancelRequested(key) => self.on_cancel_request(key, context),
+                Event::TaskCompleted(completion) => self.on_task_completed(*completion, context),
+                Event::EndpointsUpdated(kind, endpoints) => {
+                    self.on_endpoints_updated(kind, endpoints, context)
+                }
+            }
+        }
+    }
+
+    /// Passes an event to the policy and executes the actions that it returns.
+    fn notify_policy(&mut self, event: interface::Event, context: &mut Context) {
+        let actions = self.decide(event, context);
+        self.execute(actions, context);
+    }
+
+    /// Passes an event to the policy and returns its actions, which are still to be executed.
+    fn decide(&mut self, event: interface::Event, context: &Context) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.policy.handle(context.reactor.now(), event, &mut actions);
+        actions
+    }
+
+    /// Sends a client the final answer to its query.
+    fn respond(&mut self, client: ConnectionId, response: Response, context: &mut Context) {
+        self.frontend.respond(client, response, context);
+    }
+
+    /// Gives up the attempt that runs on a connection to a database host.
+    fn cancel_attempt(&mut self, connection: ConnectionId, context: &mut Context) {
+        self.backend.cancel(connection, context);
+    }
+}
+
+impl Handler for Pooler {
+    fn ready(&mut self, source: EventSource, hung_up: bool, context: &mut Context) {
+        match source {
+            EventSource::Listener => self.frontend.accept(context),
+            EventSource::Signals => self.on_signals(context),
+            EventSource::Client(client) if hung_up => self.frontend.client_disconnected(client, context),
+            EventSource::Client(client) => self.frontend.ready(client, context),
+            EventSource::Server(connection) => self.backend.ready(connection, context),
+            EventSource::Discovery(watch) => self.discovery.ready(watch, context),
+        }
+        self.process_events(context);
+    }
+
+    fn timer_expired(&mut self, timer: TimerEvent, context: &mut Context) {
+        match timer {
+            TimerEvent::Policy(cookie) => self.notify_policy(interface::Event::Timer { cookie }, context),
+            TimerEvent::RetryAccept => self.frontend.accept(context),
+            TimerEvent::IdleSweep => self.frontend.close_idle(context),
+            TimerEvent::Client(client) => self.frontend.timer_expired(client, context),
+            TimerEvent::Server(connection) => self.backend.timer_expired(connection, context),
+            TimerEvent::Discovery(watch) => self.discovery.timer_expired(watch, context),
+            TimerEvent::GracePeriodOver => self.on_grace_period_over(context),
+        }
+        self.process_events(context);
+    }
+
+    fn finished(&self) -> bool {
+        self.shutdown == ShutdownState::Closing && self.frontend.is_empty()
+    }
+}
--- /dev/null
+++ b/src/net/pooler/queries.rs
@@ -0,0 +1,121 @@
+//! Translates the queries of clients into requests for the policy.
+
+use super::Pooler;
+use crate::config::Config;
+use crate::interface::{self, Request, RequestId};
+use crate::net::messages::InvalidQuery;
+use crate::net::postgres::CancelKey;
+use crate::net::reactor::ConnectionId;
+use crate::net::{Context, Query, Response};
+use crate::settings::{Consistency, Idempotency};
+
+/// What the pooler has to know of a request class.
+struct QueryClass {
+    name: String,
+    consistency: Consistency,
+    idempotency: Idempotency,
+}
+
+/// Resolves the names in queries to the numbers that the policy knows.
+pub(super) struct QueryTranslator {
+    /// The classes, in the order of the settings.
+    classes: Vec<QueryClass>,
+    /// The names of the tenants, in the order of the settings.
+    tenants: Vec<String>,
+}
+
+impl QueryTranslator {
+    /// Takes the classes and tenants of a configuration.
+    pub fn new(config: &Config) -> QueryTranslator {
+        let class = |(name, class): (&String, &crate::settings::RequestClass)| QueryClass {
+            name: name.clone(),
+            consistency: class.consistency,
+            idempotency: class.idempotency,
+        };
+        let classes = config.classes.iter().zip(&config.settings.classes).map(class).collect();
+        QueryTranslator { classes, tenants: config.tenants.clone() }
+    }
+
+    /// The number of the class of a query that the class allows.
+    fn class_of(&self, query: &Query) -> Result<usize, InvalidQuery> {
+        let number = self.classes.iter().position(|class| class.name == query.class);
+        let number = number.ok_or(InvalidQuery::UnknownClass)?;
+        let needs_key = self.classes[number].idempotency == Idempotency::IdempotencyKey;
+        if needs_key && !query.has_idempotency_key {
+            return Err(InvalidQuery::MissingIdempotencyKey);
+        }
+        Ok(number)
+    }
+
+    /// The number of a tenant. All tenants that the settings do not name share the number after the last.
+    fn tenant(&self, name: &str) -> usize {
+        self.tenants.iter().position(|known| known == name).unwrap_or(self.tenants.len())
+    }
+
+    /// Whether requests of a class depend on the session that they belong to.
+    fn uses_sessions(&self, class: usize) -> bool {
+        matches!(self.classes[class].consistency, Consistency::Write | Consistency::Session)
+    }
+
+    /// The request that the policy is asked to place.
+    fn request(&self, id: RequestId, class: usize, query: &Query, now: f64) -> Request {
+        let session = query.session.as_deref().filter(|_| self.uses_sessions(class));
+        Request {
+            id,
+            class,
+            group: query.group,
+            // The query may have waited behind others of its connection since it was received.
+            timeout: query.timeout - (now - query.received_at),
+            session_token_age: query.session_token.map(|committed_at| now - committed_at),
+            session: session.map(Into::into),
+            tenant: self.tenant(&query.tenant),
+            predicted_work: None,
+            client_retry: query.client_retry,
+        }
+    }
+}
+
+impl Pooler {
+    /// Passes a client's query to the policy, or rejects it if it is invalid.
+    pub(super) fn on_query(&mut self, client: ConnectionId, query: Query, context: &mut Context) {
+        let class = match self.validate(&query) {
+            Ok(class) => class,
+            Err(reason) => return self.respond(client, Response::Invalid(reason), context),
+        };
+        context.counters.requests_received += 1;
+        let id = RequestId::from(query.id.as_str());
+        let request = self.queries.request(id.clone(), class, &query, context.reactor.now());
+        self.requests.insert(id, client, query.statement);
+        self.notify_policy(interface::Event::Request(request), context);
+    }
+
+    /// The number of the class of a valid query.
+    fn validate(&self, query: &Query) -> Result<usize, InvalidQuery> {
+        let class = self.queries.class_of(query)?;
+        // Two requests of one identifier could not be told apart, and a database host would see a duplicate.
+        if self.requests.contains(&query.id) {
+            return Err(InvalidQuery::DuplicateId);
+        }
+        Ok(class)
+    }
+
+    /// Gives up the request of a client that does not wait for it any more.
+    pub(super) fn on_client_disconnected(&mut self, client: ConnectionId, context: &mut Context) {
+        let Some(request) = self.requests.client_disconnected(client) else { return };
+        context.counters.client_disconnects += 1;
+        self.notify_policy(interface::Event::ClientDisconnected { id: request.id.clone() }, context);
+        if let Some(connection) = request.connection {
+            self.cancel_attempt(connection, context);
+        }
+        self.requests.remove_if_finished(&request.id);
+    }
+
+    /// Cancels the query of the client that holds this key. The policy need not know that the client is still
+    /// connected.
+    pub(super) fn on_cancel_request(&mut self, key: CancelKey, context: &mut Context) {
+        if let Some(client) = self.frontend.find_by_cancel_key(key) {
+            self.on_client_disconnected(client, context);
+            self.respond(client, Response::Cancelled, context);
+        }
+    }
+}
--- /dev/null
+++ b/src/net/pooler/request_table/mod.rs
@@ -0,0 +1,145 @@
+//! The requests that a client or an attempt still waits for.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use crate::interface::RequestId;
+use crate::net::messages::Statement;
+use crate::net::reactor::ConnectionId;
+
+/// An attempt that was sent and has not ended yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct InFlightAttempt {
+    /// The number of the attempt among those of its request, from 0.
+    number: usize,
+    /// The connection that it runs on; none where no connection could be opened for it.
+    connection: Option<ConnectionId>,
+}
+
+/// A request that was passed to the policy.
+#[derive(Debug)]
+struct ForwardedRequest {
+    /// The client that waits for the final answer; none once it has the answer or has disconnected.
+    client: Option<ConnectionId>,
+    statement: Rc<Statement>,
+    /// How many attempts were started.
+    attempts: usize,
+    /// The attempt whose end is not handled yet.
+    in_flight: Option<InFlightAttempt>,
+}
+
+/// An attempt that is about to be sent.
+#[derive(Debug)]
+pub(super) struct NextAttempt {
+    /// The number of the attempt among those of its request, from 0.
+    pub number: usize,
+    /// What to send.
+    pub statement: Rc<Statement>,
+}
+
+/// A request whose client has disconnected.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) struct AbandonedRequest {
+    /// The request.
+    pub id: RequestId,
+    /// The connection that its attempt in flight runs on, if any.
+    pub connection: Option<ConnectionId>,
+}
+
+/// Whether a client still waits for the answer to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ClientState {
+    /// The client waits for its answer.
+    Waiting,
+    /// The client has its answer or has disconnected.
+    Gone,
+}
+
+/// All requests in progress, by their identifier and by the client that waits for them.
+///
+/// A request stays in the table until its client has its answer or has disconnected and no attempt of it is in
+/// flight.
+#[derive(Debug, Default)]
+pub(super) struct RequestTable {
+    requests: HashMap<RequestId, ForwardedRequest>,
+    /// The request that each busy client waits for.
+    by_client: HashMap<ConnectionId, RequestId>,
+}
+
+impl RequestTable {
+    /// Whether a request of this identifier is in progress.
+    pub fn contains(&self, id: &str) -> bool {
+        self.requests.contains_key(id)
+    }
+
+    /// Adds a request that `client` waits for.
+    pub fn insert(&mut self, id: RequestId, client: ConnectionId, statement: Statement) {
+        let request = ForwardedRequest {
+            client: Some(client),
+            statement: Rc::new(statement),
+            attempts: 0,
+            in_flight: None,
+        };
+        self.requests.insert(id.clone(), request);
+        self.by_client.insert(client, id);
+    }
+
+    /// Numbers the next attempt of a request; none where the request is not in progress.
+    pub fn start_attempt(&mut self, id: &str) -> Option<NextAttempt> {
+        let request = self.requests.get_mut(id)?;
+        let number = request.attempts;
+        request.attempts += 1;
+        Some(NextAttempt { number, statement: request.statement.clone() })
+    }
+
+    /// Records that an attempt was sent, and on which connection.
+    pub fn attempt_sent(&mut self, id: &str, number: usize, connection: Option<ConnectionId>) {
+        if let Some(request) = self.requests.get_mut(id) {
+            request.in_flight = Some(InFlightAttempt { number, connection });
+        }
+    }
+
+    /// The connection that an attempt runs on, if that attempt is in flight.
+    pub fn connection_of_attempt(&self, id: &str, number: usize) -> Option<ConnectionId> {
+        let in_flight = self.requests.get(id)?.in_flight?;
+        if in_flight.number != number {
+            return None;
+        }
+        in_flight.connection
+    }
+
+    /// Records that the attempt in flight has ended; none where the request is not in progress.
+    pub fn attempt_finished(&mut self, id: &str) -> Option<ClientState> {
+        let request = self.requests.get_mut(id)?;
+        request.in_flight = None;
+        Some(if request.client.is_some() { ClientState::Waiting } else { ClientState::Gone })
+    }
+
+    /// Records that a client has disconnected; none where it waits for no request. The request stays in the
+    /// table until [`remove_if_finished`](Self::remove_if_finished).
+    pub fn client_disconnected(&mut self, client: ConnectionId) -> Option<AbandonedRequest> {
+        let id = self.by_client.remove(&client)?;
+        let request = self.requests.get_mut(&id)?;
+        request.client = None;
+        let connection = request.in_flight.and_then(|attempt| attempt.connection);
+        Some(AbandonedRequest { id, connection })
+    }
+
+    /// The client that is owed the final answer, which is to be sent now; none where there is no such client.
+    pub fn take_client(&mut self, id: &str) -> Option<ConnectionId> {
+        let client = self.requests.get_mut(id)?.client.take()?;
+        self.by_client.remove(&client);
+        Some(client)
+    }
+
+    /// Removes a request that neither a client nor an attempt waits for.
+    pub fn remove_if_finished(&mut self, id: &str) {
+        let finished = |request: &ForwardedRequest| request.client.is_none() && request.in_flight.is_none();
+        if self.requests.get(id).is_some_and(finished) {
+            self.requests.remove(id);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/pooler/request_table/tests.rs
@@ -0,0 +1,133 @@
+//! The life of a request in the table.
+
+use super::{AbandonedRequest, ClientState, RequestTable};
+use crate::interface::RequestId;
+use crate::net::messages::Statement;
+use crate::net::reactor::{ConnectionId, ConnectionTable};
+
+const ID: &str = "r1";
+
+/// Connection identifiers that are all different.
+fn connections<const N: usize>() -> [ConnectionId; N] {
+    let mut table = ConnectionTable::new();
+    std::array::from_fn(|_| table.insert(()))
+}
+
+fn statement() -> Statement {
+    Statement { text: "SELECT 1".into(), timeout: 0..0, memory: None }
+}
+
+/// A table with one request that `client` waits for.
+fn table_with_request(client: ConnectionId) -> RequestTable {
+    let mut table = RequestTable::default();
+    table.insert(RequestId::from(ID), client, statement());
+    table
+}
+
+/// Starts an attempt that runs on `connection`, and returns its number.
+fn send_attempt(table: &mut RequestTable, connection: Option<ConnectionId>) -> usize {
+    let attempt = table.start_attempt(ID).expect("the request is in progress");
+    table.attempt_sent(ID, attempt.number, connection);
+    attempt.number
+}
+
+#[test]
+fn an_unknown_request_has_no_attempts_and_no_client() {
+    let [client] = connections();
+    let mut table = RequestTable::default();
+    assert!(!table.contains(ID));
+    assert!(table.start_attempt(ID).is_none());
+    assert_eq!(table.attempt_finished(ID), None);
+    assert_eq!(table.connection_of_attempt(ID, 0), None);
+    assert_eq!(table.client_disconnected(client), None);
+    assert_eq!(table.take_client(ID), None);
+    table.attempt_sent(ID, 0, Some(client));
+    table.remove_if_finished(ID);
+    assert!(!table.contains(ID));
+}
+
+#[test]
+fn attempts_are_numbered_from_zero_and_carry_the_statement() {
+    let [client] = connections();
+    let mut table = table_with_request(client);
+    for number in 0..3 {
+        let attempt = table.start_attempt(ID).expect("the request is in progress");
+        assert_eq!((attempt.number, &*attempt.statement.text), (number, "SELECT 1"));
+    }
+}
+
+#[test]
+fn only_the_attempt_in_flight_has_a_connection() {
+    let [client, first, second] = connections();
+    let mut table = table_with_request(client);
+    assert_eq!(table.connection_of_attempt(ID, 0), None);
+    let number = send_attempt(&mut table, Some(first));
+    assert_eq!(table.connection_of_attempt(ID, number), Some(first));
+    assert_eq!(table.attempt_finished(ID), Some(ClientState::Waiting));
+    assert_eq!(table.connection_of_attempt(ID, number), None);
+    let retry = send_attempt(&mut table, Some(second));
+    assert_eq!(table.connection_of_attempt(ID, number), None);
+    assert_eq!(table.connection_of_attempt(ID, retry), Some(second));
+}
+
+#[test]
+fn an_attempt_without_a_connection_is_in_flight_all_the_same() {
+    let [client] = connections();
+    let mut table = table_with_request(client);
+    let number = send_attempt(&mut table, None);
+    assert_eq!(table.connection_of_attempt(ID, number), None);
+    assert_eq!(table.take_client(ID), Some(client));
+    table.remove_if_finished(ID);
+    assert!(table.contains(ID));
+    assert_eq!(table.attempt_finished(ID), Some(ClientState::Gone));
+    table.remove_if_finished(ID);
+    assert!(!table.contains(ID));
+}
+
+#[test]
+fn a_request_stays_while_its_client_waits() {
+    let [client] = connections();
+    let mut table = table_with_request(client);
+    table.remove_if_finished(ID);
+    assert!(table.contains(ID));
+    assert_eq!(table.take_client(ID), Some(client));
+    assert_eq!(table.take_client(ID), None, "there is one final answer");
+    table.remove_if_finished(ID);
+    assert!(!table.contains(ID));
+}
+
+#[test]
+fn a_client_that_has_its_answer_abandons_nothing_when_it_disconnects() {
+    let [client] = connections();
+    let mut table = table_with_request(client);
+    assert_eq!(table.take_client(ID), Some(client));
+    assert_eq!(table.client_disconnected(client), None);
+}
+
+#[test]
+fn a_disconnected_client_abandons_its_request_with_the_attempt_in_flight() {
+    let [client, other, connection] = connections();
+    let mut table = table_with_request(client);
+    send_attempt(&mut table, Some(connection));
+    assert_eq!(table.client_disconnected(other), None);
+    let abandoned = AbandonedRequest { id: RequestId::from(ID), connection: Some(connection) };
+    assert_eq!(table.client_disconnected(client), Some(abandoned));
+    assert_eq!(table.client_disconnected(client), None);
+    assert_eq!(table.take_client(ID), None, "nobody is owed an answer");
+    table.remove_if_finished(ID);
+    assert!(table.contains(ID), "its attempt is in flight");
+    assert_eq!(table.attempt_finished(ID), Some(ClientState::Gone));
+    table.remove_if_finished(ID);
+    assert!(!table.contains(ID));
+}
+
+#[test]
+fn a_client_can_wait_for_its_next_request_while_an_abandoned_one_is_in_flight() {
+    let [client, connection] = connections();
+    let mut table = table_with_request(client);
+    send_attempt(&mut table, Some(connection));
+    assert!(table.client_disconnected(client).is_some());
+    table.insert(RequestId::from("r2"), client, statement());
+    assert_eq!(table.take_client(ID), None);
+    assert_eq!(table.take_client("r2"), Some(client));
+}
--- /dev/null
+++ b/src/net/pooler/startup.rs
@@ -0,0 +1,119 @@
+//! Builds the pooler from its configuration and runs it.
+
+use std::collections::VecDeque;
+use std::io;
+use std::path::Path;
+
+use mio::net::TcpListener;
+use mio::{Interest, Poll};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
+use signal_hook_mio::v1_0::Signals;
+
+use super::queries::QueryTranslator;
+use super::request_table::RequestTable;
+use super::{Pooler, ShutdownState};
+use crate::config::Config;
+use crate::counters::Counters;
+use crate::interface::UpdateKind;
+use crate::net::backend::Backend;
+use crate::net::buffer::MemoryBudget;
+use crate::net::discovery::Discovery;
+use crate::net::frontend::Frontend;
+use crate::net::reactor::{self, EventSource, Reactor};
+use crate::net::{Context, Event};
+use crate::settings::SettingsError;
+use crate::Policy;
+
+/// File descriptors that connections may not use: they are for the listener, the poll, the signals, standard
+/// error, the watch of the endpoint list and whatever else the process opens for a moment.
+const RESERVED_DESCRIPTORS: usize = 16;
+
+/// Why the pooler could not start or had to stop.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ServeError {
+    /// The policy does not accept its settings.
+    #[error(transparent)]
+    InvalidSettings(#[from] SettingsError),
+    /// The configured limit of file descriptors leaves none for clients.
+    #[error("too few sockets")]
+    TooFewSockets,
+    /// A call of the operating system failed.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
+
+/// How many connections each side may hold.
+struct ConnectionLimits {
+    clients: usize,
+    hosts: usize,
+}
+
+impl ConnectionLimits {
+    /// Divides the configured number of file descriptors between clients and database hosts. A client has at
+    /// most one attempt in flight, so both sides get half of them.
+    fn new(descriptors: usize) -> Result<ConnectionLimits, ServeError> {
+        let sockets = descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+        let clients = sockets / 2;
+        if clients == 0 {
+            return Err(ServeError::TooFewSockets);
+        }
+        Ok(ConnectionLimits { clients, hosts: sockets - clients })
+    }
+}
+
+/// Serves clients until a graceful shutdown is complete. `path` is the file that `config` was read from; a
+/// reload reads it again.
+pub(crate) fn serve(config: &Config, path: &Path) -> Result<(), ServeError> {
+    let mut poll = Poll::new()?;
+    let reactor = Reactor::new(&poll)?;
+    let mut context = Context { reactor, events: VecDeque::new(), counters: Counters::default() };
+    let mut pooler = Pooler::new(config, path, &mut context)?;
+    reactor::run(&mut poll, &mut pooler, &mut context)?;
+    tracing::info!(name = %config.name, "shut down: {}", context.counters);
+    Ok(())
+}
+
+impl Pooler {
+    /// Opens the listener and starts from the cached endpoint list.
+    fn new(config: &Config, path: &Path, context: &mut Context) -> Result<Pooler, ServeError> {
+        let settings = &config.settings;
+        let policy = Policy::new(settings.clone(), config.seed)?;
+        let signals = register_signals(context)?;
+        let limits = ConnectionLimits::new(config.sockets)?;
+        // Half the memory is for buffers, statements and values, whichever of them needs it.
+        let budget = MemoryBudget::new(config.memory / 2);
+        let listener = listen(config, &limits)?;
+        let mut pooler = Pooler {
+            policy,
+            frontend: Frontend::new(listener, limits.clients, budget.clone(), !config.seed, context)?,
+            backend: Backend::new(limits.hosts, budget.clone(), config.keepalive, settings.connect_timeout),
+            discovery: Discovery::new(config.discovery, config.known.index, budget),
+            signals,
+            requests: RequestTable::default(),
+            queries: QueryTranslator::new(config),
+            zones: config.zones.clone(),
+            health_check_timeout: settings.connect_timeout,
+            config_path: path.to_path_buf(),
+            shutdown: ShutdownState::Running,
+        };
+        let cached_endpoints = config.known.endpoints.clone();
+        context.events.push_back(Event::EndpointsUpdated(UpdateKind::Cached, cached_endpoints));
+        pooler.process_events(context);
+        Ok(pooler)
+    }
+}
+
+/// Has the reactor report the signals that the pooler handles.
+fn register_signals(context: &Context) -> io::Result<Signals> {
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR1])?;
+    context.reactor.registry.register(&mut signals, EventSource::Signals.into(), Interest::READABLE)?;
+    Ok(signals)
+}
+
+/// Opens the socket that clients connect to.
+fn listen(config: &Config, limits: &ConnectionLimits) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(config.listen)?;
+    let address = listener.local_addr()?;
+    tracing::info!(name = %config.name, %address, max_clients = limits.clients, "listening");
+    Ok(listener)
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -68,8 +68,8 @@
             stderr.lines().map_while(Result::ok).try_for_each(|line| lines.send(line))
         });
         let mut pooler = Pooler { child, log, config: path, address: ([127, 0, 0, 1], 0).into() };
-        let line = pooler.logged("listens on ");
-        let address = line.split("listens on ").nth(1).and_then(|rest| rest.split(',').next());
+        let line = pooler.logged("listening");
+        let address = line.split("address=").nth(1).and_then(|rest| rest.split(' ').next());
         pooler.address = address.unwrap().parse().unwrap();
         pooler
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -811,7 +811,7 @@
     }
     let mut late = Wire(std::net::TcpStream::connect(pooler.address).unwrap());
     late.send(&startup());
-    pooler.logged("all busy: new connections wait");
+    pooler.logged("all client connections are busy: new connections wait");
     wires[1].send(&served(VALUE, "reader"));
     assert_eq!(clients[1].answer()[0].0, b'T');
     // The late one takes the place of the one that is idle now.
@@ -873,10 +873,10 @@
     let mut idle = warm(&old, &mut client(&pooler));
     let watch = discovery.call().0;
     let crowd: Vec<TcpStream> = (0..60).map(|_| TcpStream::connect(pooler.address).unwrap()).collect();
-    pooler.logged("cannot accept");
+    pooler.logged("cannot accept a connection");
     // The watch breaks, and what takes its descriptor is another of the crowd.
     drop(watch);
-    pooler.logged("discovery: ");
+    pooler.logged("endpoint watch failed");
     let (mut watch, line) = discovery.call();
     assert!(line.contains("since=41 "), "{line}");
     let moved = list(42, true, &[new.line("s-1", "here")]) + "\n";
@@ -959,7 +959,7 @@
     let mut first = db.accept();
     asked(&mut first);
     pooler.signal("TERM");
-    pooler.logged("asked to end");
+    pooler.logged("graceful shutdown started");
     idle.send(&query(&ask("2", "reports")));
     let mut new = client(&pooler);
     new.send(&query(&ask("3", "reports")));
@@ -976,7 +976,7 @@
     assert_eq!(busy.answer()[0].0, b'T');
     busy.ends();
     assert_eq!(pooler.ended().code(), Some(0));
-    assert!(pooler.logged(" ends: ").contains("served=3"));
+    assert!(pooler.logged("shut down: ").contains("served=3"));
 }
 
 /// Clients send on every connection that stays open. What came behind a query before the last call is served, what
@@ -1008,7 +1008,7 @@
     busy.send(&query(&ask("5", "reports")));
     assert!(wire.next().is_none());
     assert_eq!(pooler.ended().code(), Some(0));
-    assert!(pooler.logged(" ends: ").contains("requests_received=2 malformed=0 served=2 rejected=2"));
+    assert!(pooler.logged("shut down: ").contains("requests_received=2 malformed=0 served=2 rejected=2"));
 }
 
 #[test]
@@ -1022,9 +1022,9 @@
     asked(&mut wire);
     // A file that cannot be used changes nothing, and the pooler goes on.
     pooler.reload("{\"name\"", "{name");
-    pooler.logged("configuration kept as it was");
+    pooler.logged("reload failed, keeping the configuration");
     pooler.reload("{name", "{\"name\"");
-    pooler.logged("configuration read again");
+    pooler.logged("configuration reloaded");
     assert!(pooler.counters().contains(" reloads=1 reload_failures=1"));
     pooler.reload(&discovery.address().to_string(), &moved.address().to_string());
     // Versions are the new service's own. The old watch, which neither reload before has touched, ends.
