--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,11 +1,18 @@
-//! The command line.
+//! The command line: its subcommands, and how their failures are reported.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use argh::FromArgs;
 
-use crate::config::Config;
+use crate::config::{Config, ConfigError};
+use crate::net::ServeError;
+
+/// The exit code of a command that failed.
+const EXIT_FAILURE: u8 = 2;
+
+/// The environment variable that names the configuration file where the command line does not.
+const CONFIG_VARIABLE: &str = "LB_CONFIG";
 
 /// pg-pooler: a pooler that sends each read and write of a replicated database where it belongs.
 #[derive(FromArgs)]
@@ -45,40 +52,65 @@
     config: Option<PathBuf>,
 }
 
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+enum CommandError {
+    /// Neither the command line nor the environment names a configuration file.
+    #[error("no configuration: give --config or set {CONFIG_VARIABLE}")]
+    NoConfiguration,
+    /// The configuration file cannot be used.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// The pooler could not start or had to stop.
+    #[error("cannot serve: {0}")]
+    Serve(#[from] ServeError),
+}
+
 /// Runs the program as its command line says.
 pub fn run() -> ExitCode {
     let Args { command } = argh::from_env();
     let result = match command {
-        Command::Serve(Serve { config }) => load(config).and_then(|(path, config)| {
-            crate::logging::init();
-            crate::net::serve(&config, &path).map_err(|error| format!("cannot serve: {error}"))
-        }),
+        Command::Serve(Serve { config }) => serve(config),
         Command::Version(Version {}) => {
-            println!("pg-pooler {}", env!("CARGO_PKG_VERSION"));
+            print_version();
             Ok(())
         }
-        Command::CheckConfig(CheckConfig { config }) => load(config).map(|(_, config)| {
-            println!(
-                "usable: {} listens on {} for {} classes of requests, discovery at {}",
-                config.name,
-                config.listen,
-                config.classes.len(),
-                config.discovery
-            );
-        }),
+        Command::CheckConfig(CheckConfig { config }) => check_config(config),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("pg-pooler: {message}");
-            ExitCode::from(2)
+        Err(error) => {
+            eprintln!("pg-pooler: {error}");
+            ExitCode::from(EXIT_FAILURE)
         }
     }
 }
 
-fn load(path: Option<PathBuf>) -> Result<(PathBuf, Config), String> {
-    let path = path.or_else(|| std::env::var_os("LB_CONFIG").map(PathBuf::from));
-    let path = path.ok_or("no configuration: give --config or set LB_CONFIG")?;
-    let config = Config::load(&path).map_err(|error| error.to_string())?;
-    Ok((path, config))
+fn serve(path: Option<PathBuf>) -> Result<(), CommandError> {
+    let path = config_path(path)?;
+    let config = Config::load(&path)?;
+    crate::logging::init();
+    crate::net::serve(&config, &path)?;
+    Ok(())
+}
+
+fn print_version() {
+    println!("pg-pooler {}", env!("CARGO_PKG_VERSION"));
+}
+
+fn check_config(path: Option<PathBuf>) -> Result<(), CommandError> {
+    let config = Config::load(&config_path(path)?)?;
+    println!(
+        "usable: {} listens on {} for {} classes of requests, discovery at {}",
+        config.name,
+        config.listen,
+        config.classes.len(),
+        config.discovery
+    );
+    Ok(())
+}
+
+/// The configuration file that the command line names, or else the environment.
+fn config_path(path: Option<PathBuf>) -> Result<PathBuf, CommandError> {
+    path.or_else(|| std::env::var_os(CONFIG_VARIABLE).map(PathBuf::from)).ok_or(CommandError::NoConfiguration)
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::counters::Counters;
 use messages::{Completion, Event, Query, Response, Statement, Task};
-pub(crate) use pooler::serve;
+pub(crate) use pooler::{serve, ServeError};
 use reactor::Reactor;
 
 /// The state that all callbacks of the reactor share.
--- a/src/net/pooler/mod.rs
+++ b/src/net/pooler/mod.rs
@@ -24,7 +24,7 @@
 use crate::Policy;
 use queries::QueryTranslator;
 use request_table::RequestTable;
-pub(crate) use startup::serve;
+pub(crate) use startup::{serve, ServeError};
 
 /// How far the graceful shutdown has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
