--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,8 +17,6 @@
 //! policy.handle(0.1, Event::request("r1", 0, 0, 1.0), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { .. })));
 //! ```
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 pub mod cli;
 pub mod config;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,4 @@
 //! The pooler's program.
-#![forbid(unsafe_code)]
 
 use std::process::ExitCode;
 
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -1,4 +1,5 @@
 //! The command line of the pooler's program.
+#![allow(clippy::unwrap_used, reason = "a panic is how a test fails, also in its helper functions")]
 
 use std::process::{Command, Output};
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -1,5 +1,6 @@
 //! Stories over loopback: the program between scripted peers. Each guards against one thing that real
 //! sockets do.
+#![allow(clippy::unwrap_used, reason = "a panic is how a test fails, also in its helper functions")]
 
 mod peers;
 
