--- a/src/counters/mod.rs
+++ b/src/counters/mod.rs
@@ -70,7 +70,8 @@
     pub clients_accepted: u64,
     /// Valid queries that were passed to the policy.
     pub requests_received: u64,
-    /// Messages and queries of clients that were invalid.
+    /// Messages and queries of clients that were invalid, including queries that a database host rejected as
+    /// invalid.
     pub malformed: u64,
     /// Clients whose connection was closed because they did not send a first query, complete a message or read
     /// their answers in time.
@@ -79,7 +80,8 @@
     pub idle_closed: u64,
     /// Queries that were answered with a value.
     pub served: u64,
-    /// Queries that were answered with a rejection; they were not executed.
+    /// Queries that were answered with a rejection; they were not executed. Includes those rejected for lack of
+    /// memory or during a shutdown, which are not in [`requests_received`](Self::requests_received).
     pub rejected: u64,
     /// Queries that were answered with a failure; they may have been executed.
     pub failed: u64,
