--- a/src/interface/action.rs
+++ b/src/interface/action.rs
@@ -1,4 +1,4 @@
-//! What the policy tells the host to do.
+//! What the policy tells the program that hosts it to do.
 
 use super::{EndpointId, RequestId};
 use std::fmt;
@@ -15,7 +15,7 @@
         /// Timeout of the attempt.
         timeout: f64,
     },
-    /// Stop waiting for an attempt.
+    /// Cancel an attempt.
     CancelAttempt {
         /// The request.
         id: RequestId,
@@ -38,10 +38,10 @@
     SetTimer {
         /// When it expires.
         at: f64,
-        /// What its event brings back.
+        /// The value that its [`Event::Timer`](super::Event::Timer) carries.
         cookie: u64,
     },
-    /// Ask an endpoint about itself.
+    /// Send a health check to an endpoint.
     HealthCheck {
         /// The endpoint.
         endpoint: EndpointId,
@@ -75,7 +75,7 @@
     Ejected(EndpointId),
     /// An ejected endpoint is used again.
     Reinstated(EndpointId),
-    /// Requests are rejected because no endpoint can answer them in time.
+    /// Requests are rejected because no usable endpoint can answer them in time.
     SheddingLoad,
 }
 
--- a/src/interface/event.rs
+++ b/src/interface/event.rs
@@ -1,4 +1,4 @@
-//! What the host tells the policy.
+//! What the program that hosts the policy reports to it.
 
 use super::{Endpoint, EndpointId, LoadReport, Outcome, RequestId, UpdateKind};
 use std::sync::Arc;
@@ -18,7 +18,7 @@
     pub session_token_age: Option<f64>,
     /// Its session.
     pub session: Option<Arc<str>>,
-    /// Its tenant, by number.
+    /// Its tenant, by number; a number that the settings do not have is not limited by a quota.
     pub tenant: usize,
     /// Predicted work (seconds), where known.
     pub predicted_work: Option<f64>,
@@ -77,7 +77,7 @@
         /// The request.
         id: RequestId,
     },
-    /// The client has disconnected.
+    /// The client has disconnected, or has cancelled its request.
     ClientDisconnected {
         /// Its request.
         id: RequestId,
@@ -90,7 +90,7 @@
 }
 
 impl Event {
-    /// A plain request, without session, tenant or hints.
+    /// A plain request of the first tenant, without session or predicted work.
     pub fn request(id: &str, class: usize, group: u32, timeout: f64) -> Event {
         Event::Request(Request {
             id: id.into(),
--- a/src/interface/mod.rs
+++ b/src/interface/mod.rs
@@ -1,7 +1,8 @@
 //! The messages between a [`Policy`](crate::Policy) and the program that hosts it: [`Event`]s go in and
 //! [`Action`]s come out. Types only: no decision is taken here.
 //!
-//! All times are in seconds on one monotonic clock that the host supplies.
+//! All times are in seconds. Points in time, log positions included, are on one monotonic clock that the hosting
+//! program supplies.
 
 mod action;
 mod event;
@@ -70,11 +71,11 @@
 /// How an attempt or a health check ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    /// It was served.
+    /// The endpoint served it.
     Success,
     /// The endpoint reported an error; the request may have been executed.
     Error,
-    /// The endpoint rejected it for overload, unexamined.
+    /// The endpoint rejected it unexecuted: it is overloaded, draining, or out of connections.
     Overloaded,
     /// No answer came in time; the request may have been executed.
     Timeout,
@@ -82,13 +83,13 @@
     ConnectFailed,
     /// The connection broke; the request may have been executed.
     ConnectionReset,
-    /// The attempt was withdrawn; the request may have been executed.
+    /// The attempt was cancelled; the request may have been executed.
     Cancelled,
     /// The attempt was never sent.
     NotSent,
-    /// The endpoint rejected it unexecuted, being no primary or too far behind.
+    /// The endpoint rejected it unexecuted: it is not the primary, or its data is too old.
     Ineligible,
-    /// The endpoint rejected it unexecuted for what it says, as any other endpoint would.
+    /// The endpoint rejected it unexecuted as invalid; any other endpoint would do the same.
     InvalidRequest,
 }
 
@@ -105,7 +106,7 @@
         )
     }
 
-    /// Whether this outcome is an answer of the endpoint, whatever it says.
+    /// Whether the endpoint answered, with any result.
     pub fn is_response(self) -> bool {
         matches!(
             self,
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -51,7 +51,7 @@
     pub deadline: f64,
     /// How long repeats with the same idempotency key are dropped.
     pub deduplication_window: f64,
-    /// What a repeat can do.
+    /// What a repeated execution can do.
     pub idempotency: Idempotency,
     /// Where repeats are dropped.
     pub deduplication_scope: DeduplicationScope,
@@ -184,9 +184,10 @@
     pub initial_capacity: f64,
     /// A starting endpoint has its full capacity after this time.
     pub slow_start_window: f64,
-    /// An endpoint in slow start collapses beyond this multiple of its present capacity ...
+    /// An endpoint in slow start collapses if its load exceeds this multiple of its present capacity for the whole
+    /// of [`overload_window`](Self::overload_window).
     pub overload_limit: f64,
-    /// ... when that is kept up for this time.
+    /// How long an endpoint in slow start withstands a load above [`overload_limit`](Self::overload_limit).
     pub overload_window: f64,
     /// Only an announced drain is binding; an endpoint that merely disappeared may still be used.
     pub removal_is_advisory: bool,
--- a/src/settings/validation.rs
+++ b/src/settings/validation.rs
@@ -1,8 +1,8 @@
-//! Rejects settings out of range before anything is decided on them.
+//! Validation: rejects settings that are out of range before a policy uses them.
 
 use super::{Consistency, RequestClass, Settings, StaleReadHandling};
 
-/// A setting out of its range.
+/// A setting that is out of its range.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("'{field}' must be {must}")]
 pub struct SettingsError {
@@ -28,7 +28,7 @@
     (0.0..=1.0).contains(&share)
 }
 
-/// Checks every number that the policy divides by, waits for or draws shares from.
+/// Checks every setting that has a range.
 pub(crate) fn validate(settings: &Settings) -> Result<(), SettingsError> {
     validate_general(settings)?;
     for (index, quota) in settings.tenant_quota.iter().enumerate() {
