--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -1,45 +1,59 @@
-//! The command line of the pooler's program.
+//! The command line of the pooler program.
 #![allow(clippy::unwrap_used, reason = "a panic is how a test fails, also in its helper functions")]
 
 use std::process::{Command, Output};
 
-fn run(args: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_pg-pooler")).args(args).env_remove("LB_CONFIG").output().unwrap()
+/// Runs the program to its end, without a configuration from the environment.
+fn run(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pg-pooler"));
+    command.args(arguments).env_remove("LB_CONFIG").output().unwrap()
 }
 
 #[test]
-fn version_is_that_of_the_crate() {
+fn the_version_command_prints_the_version_of_the_crate() {
     let output = run(&["version"]);
     assert!(output.status.success());
     assert_eq!(output.stdout, format!("pg-pooler {}\n", env!("CARGO_PKG_VERSION")).as_bytes());
 }
 
-#[test]
-fn a_configuration_that_cannot_be_used_is_named_with_its_fault() {
-    let file = std::env::temp_dir().join(format!("pg-pooler-cli-{}.json", std::process::id()));
-    let path = file.to_str().unwrap();
-    let whole = r#"{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"7f","settings":{
+/// The smallest configuration that `check-config` accepts.
+const VALID_CONFIGURATION: &str = r#"{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"7f","settings":{
         "classes":[{"name":"a","aim":1,"deadline":2}],"specifics":{"consistency":["any"]},
         "invariants":{"tipMultiple":2}}}"#;
+
+/// Runs `check-config` on a file with this text. Returns the output and the path of the file.
+fn check_configuration(text: &str) -> (Output, String) {
+    let file = std::env::temp_dir().join(format!("pg-pooler-cli-{}.json", std::process::id()));
+    let path = file.to_str().unwrap();
+    std::fs::write(&file, text).unwrap();
+    let output = run(&["check-config", "--config", path]);
+    std::fs::remove_file(&file).unwrap();
+    (output, path.to_string())
+}
+
+#[test]
+fn check_config_names_the_file_and_its_fault() {
+    let (output, _) = check_configuration(VALID_CONFIGURATION);
+    let message = String::from_utf8(output.stderr).unwrap();
+    assert!(output.status.success(), "{message}");
+
     for (from, to, fault) in [
-        ("", "", ""),
         ("127.0.0.1:1", "nowhere", "'listen' is not an address"),
         ("7f", "xyz", "'seed' is not hexadecimal"),
         (r#""aim":1"#, r#""aim":-1"#, "classes[0].aim"),
         (r#""deadline":2"#, r#""deadline":"soon""#, "'deadline' is not a number"),
         (r#"{"listen""#, "", "not JSON"),
     ] {
-        std::fs::write(&file, whole.replacen(from, to, 1)).unwrap();
-        let output = run(&["check-config", "--config", path]);
+        let (output, path) = check_configuration(&VALID_CONFIGURATION.replacen(from, to, 1));
         let message = String::from_utf8(output.stderr).unwrap();
-        assert_eq!(output.status.success(), fault.is_empty(), "{fault}: {message}");
-        assert!(fault.is_empty() || message.contains(path) && message.contains(fault), "{fault}: {message}");
+        assert!(!output.status.success(), "{fault}: {message}");
+        assert!(message.contains(&path), "{fault}: {message}");
+        assert!(message.contains(fault), "{fault}: {message}");
     }
-    std::fs::remove_file(&file).unwrap();
 }
 
 #[test]
-fn without_a_configuration_nothing_is_served() {
+fn serve_without_a_configuration_fails_and_names_the_environment_variable() {
     let output = run(&["serve"]);
     assert!(!output.status.success());
     assert!(String::from_utf8(output.stderr).unwrap().contains("LB_CONFIG"));
--- /dev/null
+++ b/tests/loopback/cancellation.rs
@@ -0,0 +1,82 @@
+//! Cancel requests and clients that disconnect before the response.
+
+use rstest::rstest;
+
+use crate::harness::*;
+
+/// The pooler once stopped reading from a client with too much unread input, and so did not see that the client had
+/// disconnected. The attempt for its query went on.
+#[rstest]
+#[case::nothing_unread(0)]
+#[case::more_unread_than_is_buffered(2000)]
+fn the_attempt_of_a_client_that_disconnects_is_abandoned(#[case] queries_behind: usize) {
+    let host = DatabaseHost::new();
+    let (pooler, _discovery) = start_with_one_host(&host, &[]);
+    let mut client = connect_client(&pooler);
+    client.send(&Request::new("1", "reports").message());
+    let mut backend = host.accept();
+    backend.receive_query();
+    client.send(&Request::new("2", "reports").message().repeat(queries_behind));
+    drop(client);
+    backend.expect_end();
+    pooler.expect_counters(
+        " client_disconnects=1 client_timeouts=0 idle_closed=0 backend_connects=1 attempts_sent=1 success=0",
+    );
+}
+
+#[rstest]
+#[case::sender_waits_for_the_end(false)]
+#[case::sender_hangs_up_at_once(true)]
+fn a_cancel_request_ends_the_query_only_if_its_key_is_right(#[case] hangs_up: bool) {
+    let host = DatabaseHost::new();
+    let (pooler, _discovery) = start_with_one_host(&host, &[]);
+    let (mut client, cancel_request) = connect_client_with_cancel_request(&pooler);
+    client.send(&Request::new("1", "reports").message());
+    let mut backend = host.accept();
+    backend.receive_query();
+    let send_once = |message: &[u8]| {
+        let mut sender = connect_without_startup(&pooler);
+        sender.send(message);
+        if !hangs_up {
+            sender.expect_end();
+        }
+    };
+    let mut wrong_key = cancel_request.clone();
+    wrong_key[15] = !wrong_key[15];
+    send_once(&wrong_key);
+    send_once(&cancel_request);
+    client.expect_error("57014");
+    backend.expect_end();
+    // The client stays connected.
+    complete_read(&host, &mut client);
+    pooler.expect_counters(" cancelled=1");
+}
+
+/// A query that waits for a replica that is fresh enough must not be sent after its client has cancelled it or has
+/// disconnected.
+#[rstest]
+#[case::cancelled(true)]
+#[case::disconnected(false)]
+fn a_queued_query_whose_client_has_gone_is_not_sent(#[case] cancels: bool) {
+    let host = DatabaseHost::new();
+    let (pooler, _discovery) = start_with_one_host(&host, &[HEALTH_CHECKS]);
+    let (mut waiting, cancel_request) = connect_client_with_cancel_request(&pooler);
+    waiting.send(&Request::new("1", "browse").message());
+    let mut backend = host.accept();
+    assert_eq!(backend.receive_query(), "SHOW usage");
+    if cancels {
+        connect_without_startup(&pooler).send(&cancel_request);
+        waiting.expect_error("57014");
+    } else {
+        drop(waiting);
+    }
+    while !pooler.counters().contains(" client_disconnects=1 ") {}
+    // From this report on the replica is fresh enough for the query.
+    let fresh_report = format!("x0={:.3},x1=0", unix_time().as_secs_f64());
+    backend.send_result(fresh_report.as_bytes(), Role::Reader);
+    let mut other = connect_client(&pooler);
+    other.send(&Request::new("2", "reports").message());
+    backend.expect_request("2");
+    backend.send_result(BINARY_VALUE, Role::Reader);
+    other.expect_result();
+}
--- /dev/null
+++ b/tests/loopback/client_limits.rs
@@ -0,0 +1,158 @@
+//! Limits on clients: connections, idle time, memory and processor time.
+
+use std::io::Write;
+
+use rstest::rstest;
+
+use crate::harness::*;
+
+#[test]
+fn at_the_connection_limit_idle_clients_are_closed_and_busy_ones_are_not() {
+    let host = DatabaseHost::new();
+    let (pooler, _discovery) = start_with_one_host(&host, &[THREE_CLIENTS]);
+    let mut clients: Vec<Connection> = (0..3).map(|_| connect_client(&pooler)).collect();
+    // The limit is three clients: none of them is closed before a fourth connects.
+    pooler.expect_counters("clients_accepted=3");
+    clients.push(connect_client(&pooler));
+    // The first has been idle for longest.
+    clients.remove(0).expect_end();
+    let mut backends = Vec::new();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.send(&Request::new(number, "reports").message());
+        let mut backend = host.accept();
+        backend.receive_query();
+        backends.push(backend);
+    }
+    let mut late = connect_without_startup(&pooler);
+    late.send(&startup());
+    pooler.wait_for_log("all client connections are busy: new connections wait");
+    backends[1].send_result(BINARY_VALUE, Role::Reader);
+    clients[1].expect_result();
+    // The late client takes the place of the one that is idle now.
+    late.receive_response();
+    clients[1].expect_end();
+}
+
+/// An idle client was once closed to make room for a new one although its next query had already arrived. The query
+/// was lost unread.
+#[test]
+fn a_client_whose_query_has_arrived_is_not_closed_to_make_room() {
+    let host = DatabaseHost::new();
+    let (pooler, _discovery) = start_with_one_host(&host, &[THREE_CLIENTS]);
+    let mut clients: Vec<Connection> = (0..3).map(|_| connect_client(&pooler)).collect();
+    let mut backend = complete_read(&host, &mut clients[1]);
+    // While the pooler is stopped, a new client connects and then the client that is idle for longest sends a query.
+    pooler.signal(Signal::Stop);
+    let mut new = connect_without_startup(&pooler);
+    clients[0].send(&Request::new("1", "reports").message());
+    pooler.signal(Signal::Continue);
+    backend.expect_request("1");
+    backend.send_result(BINARY_VALUE, Role::Reader);
+    clients[0].expect_result();
+    new.send(&startup());
+    new.receive_response();
+    clients[2].expect_end_without_reset();
+}
+
+/// The first bytes of a query, without its end.
+fn partial_query() -> Vec<u8> {
+    Request::new("1", "reports").message()[..40].to_vec()
+}
+
+#[rstest]
+#[case::nothing(vec![], None)]
+#[case::partial_startup(startup()[..7].to_vec(), Some("08P01"))]
+#[case::startup_only(startup(), None)]
+#[case::partial_query([startup(), partial_query()].concat(), Some("08P01"))]
+#[case::message_that_is_no_query([startup(), encode_message(message_type::FLUSH, b"")].concat(), None)]
+fn a_client_that_never_completes_a_query_is_closed(#[case] sent: Vec<u8>, #[case] sqlstate: Option<&str>) {
+    let host = DatabaseHost::new();
+    let (pooler, _discovery) = start_with_one_host(&host, &[]);
+    let mut active = connect_client(&pooler);
+    complete_read(&host, &mut active);
+    let mut silent = connect_without_startup(&pooler);
+    silent.send(&sent);
+    let startup_is_complete = sent.len() >= startup().len();
+    if startup_is_complete {
+        silent.receive_response();
+    }
+    if let Some(sqlstate) = sqlstate {
+        silent.expect_error(sqlstate);
+    }
+    silent.expect_end();
+    // A client that has sent a query may be idle.
+    complete_read(&host, &mut active);
+    pooler.expect_counters(" client_timeouts=1 ");
+}
+
+#[test]
+fn an_idle_client_is_closed_after_its_query_once_places_run_out() {
+    let host = DatabaseHost::new();
+    let (pooler, _discovery) = start_with_one_host(&host, &[THREE_CLIENTS]);
+    let mut idle = connect_client(&pooler);
+    let mut busy = connect_client(&pooler);
+    busy.send(&Request::new("1", "reports").message());
+    let mut busy_backend = host.accept();
+    busy_backend.receive_query();
+    let mut idle_backend = complete_read(&host, &mut idle);
+    idle.expect_end_without_reset();
+    // A query that crosses the close is not forwarded. It causes no reset either, which could overtake a response.
+    idle.send(&Request::new("2", "reports").message());
+    pooler.expect_counters(" client_timeouts=0 idle_closed=1 ");
+    // After a reset this could not be sent.
+    idle.send(&Request::new("2", "reports").message());
+    let mut other = connect_client(&pooler);
+    other.send(&Request::new("3", "reports").message());
+    idle_backend.expect_request("3");
+    idle_backend.send_result(BINARY_VALUE, Role::Reader);
+    other.expect_result();
+    busy_backend.send_result(BINARY_VALUE, Role::Reader);
+    busy.expect_result();
+}
+
+/// The number of malformed queries so far.
+fn malformed_queries(pooler: &Pooler) -> u64 {
+    let counters = pooler.counters();
+    let after_name = counters.split("malformed=").nth(1).unwrap();
+    after_name.split(' ').next().unwrap().parse().unwrap()
+}
+
+#[test]
+fn a_client_that_sends_without_pause_does_not_starve_others() {
+    let host = DatabaseHost::new();
+    let (pooler, _discovery) = start_with_one_host(&host, &[]);
+    let mut usual = connect_client(&pooler);
+    let mut flooding = connect_client(&pooler);
+    let mut responses = flooding.stream.try_clone().unwrap();
+    std::thread::spawn(move || std::io::copy(&mut responses, &mut std::io::sink()));
+    std::thread::spawn(move || while flooding.stream.write_all(&query("SELECT 1").repeat(1000)).is_ok() {});
+    // Waits until the flood has reached the pooler.
+    while malformed_queries(&pooler) < 1000 {}
+    complete_read(&host, &mut usual);
+}
+
+#[test]
+fn queries_that_do_not_fit_into_memory_are_rejected() {
+    let host = DatabaseHost::new();
+    let one_megabyte = Edit { from: r#""memory_mb":192"#, to: r#""memory_mb":1"# };
+    let (pooler, _discovery) = start_with_one_host(&host, &[one_megabyte]);
+    let mut clients = Vec::new();
+    let mut backends = Vec::new();
+    // Requests share half a megabyte. Two of the greatest length and their copies for forwarding fill it.
+    for number in 0..2 {
+        let mut client = connect_client(&pooler);
+        client.send(&Request::new(number, "reports").with_large_literal().message());
+        let mut backend = host.accept();
+        backend.receive_query();
+        clients.push(client);
+        backends.push(backend);
+    }
+    let mut third = connect_client(&pooler);
+    third.send(&Request::new("2", "reports").with_large_literal().message());
+    third.expect_error("53300");
+    backends[0].send_result(BINARY_VALUE, Role::Reader);
+    clients[0].expect_result();
+    // The host got nothing of the rejected query: it receives another one next.
+    third.send(&Request::new("3", "reports").with_large_literal().message());
+    backends[0].expect_request("3");
+}
--- /dev/null
+++ b/tests/loopback/deadlines.rs
@@ -0,0 +1,46 @@
+//! Deadlines of requests.
+
+use crate::harness::*;
+
+#[test]
+fn a_silent_host_does_not_delay_the_response_past_the_deadline() {
+    let host = DatabaseHost::new();
+    let (pooler, _discovery) = start_with_one_host(&host, &[]);
+    let mut client = connect_client(&pooler);
+    client.send(&Request::new("1", "reports").deadline_ms(400).message());
+    let mut backend = host.accept();
+    backend.receive_query();
+    client.expect_error("53300");
+    backend.expect_end();
+}
+
+/// The time of a query behind another on its connection once started only when its turn came, so that it was sent
+/// after its client had given up.
+#[test]
+fn the_deadline_of_a_query_runs_while_it_waits_behind_another() {
+    let host = DatabaseHost::new();
+    let (pooler, _discovery) = start_with_one_host(&host, &[]);
+    let mut pipelining = connect_client(&pooler);
+    let mut other = connect_client(&pooler);
+    pipelining.send(&Request::new("1", "reports").message());
+    let mut backend = host.accept();
+    backend.receive_query();
+    let second = Request::new("2", "reports").deadline_ms(400);
+    let third = Request::new("3", "reports");
+    pipelining.send(&[second.message(), third.message()].concat());
+    pooler.wait_until_caught_up();
+    // The fourth request is sent later and has more time than the second. Once it has expired, so has the second.
+    other.send(&Request::new("4", "reports").deadline_ms(500).message());
+    let mut silent = host.accept();
+    silent.receive_query();
+    other.expect_error("53300");
+    backend.send_result(BINARY_VALUE, Role::Reader);
+    pipelining.expect_result();
+    pipelining.expect_error("53300");
+    // The host gets the third next, with no more time than its client still waits.
+    let forwarded = backend.receive_query();
+    assert!(forwarded.contains("id=3,") && deadline_field(&forwarded) <= 8100, "{forwarded}");
+    backend.send_result(BINARY_VALUE, Role::Reader);
+    pipelining.expect_result();
+    pooler.expect_counters(" attempts_sent=3 ");
+}
--- /dev/null
+++ b/tests/loopback/harness/configuration.rs
@@ -0,0 +1,40 @@
+//! The configuration with which the tests start the pooler.
+
+use std::net::SocketAddr;
+
+use super::EndpointList;
+
+/// Settings of four classes of requests. Latency objectives and deadlines are so long that a slow machine does not
+/// change a result.
+const SETTINGS: &str = r#"{"classes":[
+{"name":"browse","aim":8,"deadline":9,"effect":"read_like","value":1},
+{"name":"own-orders","aim":8,"deadline":9,"effect":"read_like","value":1},
+{"name":"reports","aim":8,"deadline":9,"effect":"read_like","value":1},
+{"name":"order-write","aim":8,"deadline":9,"effect":"idempotency_key","group":"cell","dedupWindow":2,"value":1}],
+"customers":[{"name":"acme","quotaPerS":1000}],"zones":["here","there"],"zone":0,"fleetSize":1,"tick":0.005,
+"registryMode":"subscribe","invariants":{"askWithin":10,"coldFrom":0.2,"warmUp":1,"tipMultiple":3,"fall":1},
+"limits":{"cancel":true,"connectTimeout":1,"keepalive":15,"maxAttempts":6,"maxRetryAfter":0.5,"probes":false,"retryAfter":true},
+"specifics":{"consistency":["bounded","session","any","write"],"stalenessBound":[3,0,0,0],"whenBehind":"silent","writeMarks":"remembered"}}"#;
+
+/// A replacement in the text of the configuration.
+pub struct Edit<'a> {
+    pub from: &'a str,
+    pub to: &'a str,
+}
+
+impl Edit<'_> {
+    /// Replaces every occurrence. The text has to contain at least one.
+    pub fn apply(&self, text: &str) -> String {
+        assert!(text.contains(self.from), "{} is not in the configuration", self.from);
+        text.replace(self.from, self.to)
+    }
+}
+
+/// The text of the configuration file. `known` is the endpoint list that the pooler starts with.
+pub fn configuration(known: &EndpointList, discovery: SocketAddr, edits: &[Edit]) -> String {
+    let text = format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            "limits":{{"memory_mb":192,"sockets":1024}},"known":{known},"settings":{SETTINGS}}}"#
+    );
+    edits.iter().fold(text, |text, edit| edit.apply(&text))
+}
--- /dev/null
+++ b/tests/loopback/harness/pooler.rs
@@ -0,0 +1,163 @@
+//! The pooler program as a child process.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+
+use super::configuration::{configuration, Edit};
+use super::{DiscoveryService, EndpointList, EVENT_TIMEOUT};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_pg-pooler");
+
+/// Clock ticks per second in the files of `/proc`.
+#[cfg(target_os = "linux")]
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// The signals that the tests send to the program.
+#[derive(Clone, Copy)]
+pub enum Signal {
+    /// Reloads the configuration.
+    Hangup,
+    /// Starts a graceful shutdown.
+    Terminate,
+    /// Logs the counters.
+    User1,
+    /// Stops the process until [`Signal::Continue`].
+    Stop,
+    Continue,
+}
+
+impl Signal {
+    fn name(self) -> &'static str {
+        match self {
+            Signal::Hangup => "HUP",
+            Signal::Terminate => "TERM",
+            Signal::User1 => "USR1",
+            Signal::Stop => "STOP",
+            Signal::Continue => "CONT",
+        }
+    }
+}
+
+/// A running pooler. Dropping it kills the process and removes its configuration file.
+pub struct Pooler {
+    child: Child,
+    log: Receiver<String>,
+    configuration: PathBuf,
+    /// Where the pooler listens for clients.
+    pub address: SocketAddr,
+}
+
+impl Pooler {
+    /// Starts the program with the endpoint list `known` and an edited configuration.
+    pub fn start(known: &EndpointList, discovery: &DiscoveryService, edits: &[Edit]) -> Pooler {
+        Pooler::start_command(Command::new(PROGRAM), known, discovery, edits)
+    }
+
+    /// Starts the program under an operating system limit of `count` file descriptors. The limit in its
+    /// configuration stays higher.
+    pub fn start_with_descriptors(count: u32, known: &EndpointList, discovery: &DiscoveryService) -> Pooler {
+        let mut command = Command::new("sh");
+        command.arg("-c").arg(format!("ulimit -n {count}; exec \"$0\" \"$@\"")).arg(PROGRAM);
+        Pooler::start_command(command, known, discovery, &[])
+    }
+
+    fn start_command(
+        mut command: Command,
+        known: &EndpointList,
+        discovery: &DiscoveryService,
+        edits: &[Edit],
+    ) -> Pooler {
+        // The port of the discovery service makes the name unique among tests that run at the same time.
+        let file = format!("pg-pooler-{}-{}.json", std::process::id(), discovery.address().port());
+        let path = std::env::temp_dir().join(file);
+        std::fs::write(&path, configuration(known, discovery.address(), edits)).unwrap();
+        command.args(["serve", "--config"]).arg(&path).stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the pooler starts");
+        let log = read_lines(child.stderr.take().unwrap());
+        let mut pooler = Pooler { child, log, configuration: path, address: ([127, 0, 0, 1], 0).into() };
+        let line = pooler.wait_for_log("listening");
+        let address = line.split("address=").nth(1).and_then(|rest| rest.split(' ').next());
+        pooler.address = address.unwrap().parse().unwrap();
+        pooler
+    }
+
+    /// Edits the configuration file and makes the pooler reload it.
+    pub fn reload(&self, edit: &Edit) {
+        let text = std::fs::read_to_string(&self.configuration).unwrap();
+        std::fs::write(&self.configuration, edit.apply(&text)).unwrap();
+        self.signal(Signal::Hangup);
+    }
+
+    /// Waits for a line of the log that contains `text`. Skips the lines before it.
+    pub fn wait_for_log(&self, text: &str) -> String {
+        loop {
+            let line =
+                self.log.recv_timeout(EVENT_TIMEOUT).unwrap_or_else(|_| panic!("'{text}' is not logged"));
+            if line.contains(text) {
+                return line;
+            }
+        }
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        let process = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", signal.name(), &process]).status().unwrap();
+        assert!(status.success());
+    }
+
+    /// The line of the log with the counters. It comes after the pooler has handled all earlier events.
+    pub fn counters(&self) -> String {
+        self.signal(Signal::User1);
+        self.wait_for_log("requests_received=")
+    }
+
+    /// Requires that the line with the counters contains `text`.
+    #[track_caller]
+    pub fn expect_counters(&self, text: &str) {
+        let counters = self.counters();
+        assert!(counters.contains(text), "no '{text}' in {counters}");
+    }
+
+    /// Waits until the pooler has handled all that was sent to it so far.
+    pub fn wait_until_caught_up(&self) {
+        self.counters();
+    }
+
+    /// The processor time of the process so far: its time in user mode and in the kernel, which are the 14th and
+    /// the 15th field of the file.
+    #[cfg(target_os = "linux")]
+    pub fn processor_seconds(&self) -> f64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        // The name of the program, in parentheses, is the second field.
+        let fields_from_third = text.rsplit(')').next().unwrap().split_whitespace();
+        let ticks = fields_from_third.skip(11).take(2);
+        ticks.map(|ticks| ticks.parse::<f64>().unwrap() / TICKS_PER_SECOND).sum()
+    }
+
+    /// Waits for the end of the process.
+    pub fn wait_for_exit(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+}
+
+impl Drop for Pooler {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.configuration);
+    }
+}
+
+/// Reads the log in a thread of its own, so that the program never blocks while it writes to it.
+fn read_lines(stderr: ChildStderr) -> Receiver<String> {
+    let (sender, receiver) = channel();
+    std::thread::spawn(move || {
+        let mut lines = BufReader::new(stderr).lines().map_while(Result::ok);
+        lines.try_for_each(|line| sender.send(line))
+    });
+    receiver
+}
--- /dev/null
+++ b/tests/loopback/harness/setup.rs
@@ -0,0 +1,54 @@
+//! Common first steps of the tests.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use super::{Connection, DatabaseHost, DiscoveryService, Edit, EndpointList, Pooler, Request, Role};
+
+/// A value with bytes that are neither text nor free of zeros.
+pub const BINARY_VALUE: &[u8] = b"\x9f\x00\x03";
+
+/// Leaves places for three clients beside the reserved descriptors.
+pub const THREE_CLIENTS: Edit = Edit { from: r#""sockets":1024"#, to: r#""sockets":22"# };
+
+/// Enables health checks.
+pub const HEALTH_CHECKS: Edit = Edit { from: r#""probes":false"#, to: r#""probes":true"# };
+
+/// Starts a pooler that knows one database host, and a discovery service that has sent nothing.
+pub fn start_with_one_host(host: &DatabaseHost, edits: &[Edit]) -> (Pooler, DiscoveryService) {
+    let discovery = DiscoveryService::new();
+    let known = EndpointList::snapshot(41, [host.entry("s-1", "here")]);
+    (Pooler::start(&known, &discovery, edits), discovery)
+}
+
+/// Starts a pooler that knows two database hosts. The first is in its own zone and preferred.
+pub fn start_with_two_hosts(near: &DatabaseHost, far: &DatabaseHost) -> (Pooler, DiscoveryService) {
+    let discovery = DiscoveryService::new();
+    let known = EndpointList::snapshot(41, [near.entry("s-1", "here"), far.entry("s-2", "there")]);
+    (Pooler::start(&known, &discovery, &[]), discovery)
+}
+
+/// Sends a read that the next connection to `host` has to get, and answers it. Returns that connection, which the
+/// pooler keeps as idle.
+pub fn complete_read(host: &DatabaseHost, client: &mut Connection) -> Connection {
+    client.send(&Request::new("warm", "reports").message());
+    let mut backend = host.accept();
+    backend.receive_query();
+    backend.send_result(BINARY_VALUE, Role::Reader);
+    client.receive_response();
+    backend
+}
+
+/// Sends a write, which `host` answers as the primary. Returns the connection that carried it.
+pub fn complete_write(host: &DatabaseHost, client: &mut Connection) -> Connection {
+    client.send(&Request::new("0", "order-write").message());
+    let mut backend = host.accept();
+    backend.receive_query();
+    backend.send_result(BINARY_VALUE, Role::Writer);
+    client.receive_response();
+    backend
+}
+
+/// The time since the Unix epoch, by which load reports and commit positions count.
+pub fn unix_time() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap()
+}
--- /dev/null
+++ b/tests/loopback/main.rs
@@ -0,0 +1,18 @@
+//! Integration tests of the pooler program over loopback.
+//!
+//! Each test starts the program as a child process between scripted clients, database hosts and a scripted
+//! discovery service. The unit tests in `src` cover decisions; these tests cover what real sockets add: partial
+//! reads, resets, half-closed connections, limits and signals.
+#![allow(clippy::unwrap_used, reason = "a panic is how a test fails, also in its helper functions")]
+
+mod attempts;
+mod backend_pool;
+mod cancellation;
+mod client_limits;
+mod client_protocol;
+mod deadlines;
+mod discovery;
+mod harness;
+mod malformed_responses;
+mod routing;
+mod shutdown_and_reload;
--- /dev/null
+++ b/tests/loopback/malformed_responses.rs
@@ -0,0 +1,75 @@
+//! Malformed responses and unsolicited messages of database hosts.
+
+use rstest::rstest;
+
+use crate::harness::*;
+
+/// A DataRow that announces a value of three gigabytes, without the value.
+const THREE_GIGABYTE_ROW: &[u8] = b"D\xb2\xd0\x5e\0\0\x01\xb2\xd0\x5d\xf6";
+
+/// Where the cases below cut a result set.
+const DESCRIPTION_END: usize = 27;
+
+fn oversized_row() -> Vec<u8> {
+    [&result_set(BINARY_VALUE)[..DESCRIPTION_END], THREE_GIGABYTE_ROW].concat()
+}
+
+/// Every byte 3 becomes 2, among them the length of the value.
+fn value_shorter_than_its_row() -> Vec<u8> {
+    result_set(BINARY_VALUE).into_iter().map(|byte| if byte == 3 { 2 } else { byte }).collect()
+}
+
+#[rstest]
+#[case::noise(b"\x9f\x03\x00\xfe\xc1".to_vec())]
+#[case::http_status_line(b"HTTP/1.1 500 odd\r\n".to_vec())]
+#[case::oversized_row(oversized_row())]
+#[case::value_shorter_than_its_row(value_shorter_than_its_row())]
+#[case::row_without_description(result_set(BINARY_VALUE)[DESCRIPTION_END..].to_vec())]
+#[case::two_rows([result_set(BINARY_VALUE), result_set(BINARY_VALUE)].concat())]
+#[case::unfinished_row(result_set(BINARY_VALUE)[..30].to_vec())]
+fn a_malformed_response_is_a_failed_attempt(#[case] response: Vec<u8>) {
+    let near = DatabaseHost::new();
+    let far = DatabaseHost::new();
+    let (pooler, _discovery) = start_with_two_hosts(&near, &far);
+    let mut client = connect_client(&pooler);
+    client.send(&Request::new("1", "reports").message());
+    let mut malformed = near.accept();
+    malformed.receive_query();
+    malformed.send(&response);
+    // The connection is closed, and the read is retried on the other host well within its deadline of 8.5 s.
+    malformed.expect_end();
+    let mut backend = far.accept();
+    backend.expect_request("1");
+    backend.send_result(BINARY_VALUE, Role::Reader);
+    assert_eq!(encode_all(&client.receive_response()), result_set(BINARY_VALUE));
+    let counters = pooler.counters();
+    assert!(counters.contains(" success=1 error=1 "), "{counters}");
+    assert!(counters.contains(" malformed_answers=1 unsolicited_messages=0 "), "{counters}");
+}
+
+#[rstest]
+#[case::second_response(&result_response(b"stray", Role::Reader))]
+#[case::noise(b"\x9f\x03\x00\xfe\xc1")]
+fn unsolicited_bytes_after_a_response_do_not_reach_the_next_request(
+    #[case] unsolicited: &[u8],
+    #[values(false, true)] after_the_response_was_read: bool,
+) {
+    let host = DatabaseHost::new();
+    let (pooler, _discovery) = start_with_one_host(&host, &[]);
+    let mut client = connect_client(&pooler);
+    client.send(&Request::new("1", "reports").message());
+    let mut backend = host.accept();
+    backend.receive_query();
+    let response = result_response(BINARY_VALUE, Role::Reader);
+    if after_the_response_was_read {
+        backend.send(&response);
+        client.expect_value(BINARY_VALUE);
+        backend.send(unsolicited);
+    } else {
+        backend.send(&[&response, unsolicited].concat());
+        client.expect_value(BINARY_VALUE);
+    }
+    backend.expect_end();
+    complete_read(&host, &mut client);
+    pooler.expect_counters(" malformed_answers=0 unsolicited_messages=1 ");
+}
--- /dev/null
+++ b/tests/loopback/shutdown_and_reload.rs
@@ -0,0 +1,110 @@
+//! Graceful shutdown and reloading of the configuration.
+
+use std::io::Read;
+
+use crate::harness::*;
+
+#[test]
+fn after_sigterm_queries_that_arrive_in_time_are_answered() {
+    let host = DatabaseHost::new();
+    let (mut pooler, _discovery) = start_with_one_host(&host, &[]);
+    let mut busy = connect_client(&pooler);
+    let mut idle = connect_client(&pooler);
+    busy.send(&Request::new("1", "reports").message());
+    let mut busy_backend = host.accept();
+    busy_backend.receive_query();
+    pooler.signal(Signal::Terminate);
+    pooler.wait_for_log("graceful shutdown started");
+    idle.send(&Request::new("2", "reports").message());
+    let mut new = connect_client(&pooler);
+    new.send(&Request::new("3", "reports").message());
+    for _ in 0..2 {
+        let mut backend = host.accept();
+        backend.receive_query();
+        backend.send_result(BINARY_VALUE, Role::Reader);
+    }
+    idle.expect_result();
+    new.expect_result();
+    // Clients without a query in flight are closed. The response still due is delivered.
+    idle.expect_end();
+    new.expect_end();
+    busy_backend.send_result(BINARY_VALUE, Role::Reader);
+    busy.expect_result();
+    busy.expect_end();
+    assert_eq!(pooler.wait_for_exit().code(), Some(0));
+    assert!(pooler.wait_for_log("shut down: ").contains("served=3"));
+}
+
+/// Clients keep sending on connections that stay open. A query pipelined before the pooler stops taking queries is
+/// served, a later one is rejected at once, and one that crosses the close gets no response.
+#[test]
+fn a_busy_connection_takes_no_queries_after_the_grace_period() {
+    let host = DatabaseHost::new();
+    let (mut pooler, _discovery) = start_with_one_host(&host, &[]);
+    let mut busy = connect_client(&pooler);
+    let mut idle = connect_client(&pooler);
+    let request = |id: &str| Request::new(id, "reports").message();
+    busy.send(&[request("1"), request("2")].concat());
+    let mut backend = host.accept();
+    backend.receive_query();
+    pooler.signal(Signal::Terminate);
+    idle.expect_end_without_reset();
+    // This query crosses the close of its connection. It is not read, and there is no reset.
+    idle.send(&request("3"));
+    busy.send(&request("4").repeat(2));
+    pooler.expect_counters("requests_received=1 ");
+    idle.send(&request("3"));
+    backend.send_result(BINARY_VALUE, Role::Reader);
+    busy.expect_result();
+    backend.expect_request("2");
+    backend.send_result(BINARY_VALUE, Role::Reader);
+    busy.expect_result();
+    let shutting_down = ErrorResponse { sqlstate: "57P03".to_string(), detail: Some("50".to_string()) };
+    for _ in 0..2 {
+        assert_eq!(busy.receive_error(), shutting_down);
+    }
+    busy.expect_end_without_reset();
+    busy.send(&request("5"));
+    assert!(backend.receive().is_none());
+    assert_eq!(pooler.wait_for_exit().code(), Some(0));
+    let summary = pooler.wait_for_log("shut down: ");
+    assert!(summary.contains("requests_received=2 malformed=0 served=2 rejected=2"), "{summary}");
+}
+
+#[test]
+fn a_reload_moves_the_watch_and_interrupts_no_request() {
+    let old = DatabaseHost::new();
+    let new = DatabaseHost::new();
+    let new_discovery = DiscoveryService::new();
+    let (mut pooler, old_discovery) = start_with_one_host(&old, &[]);
+    let mut client = connect_client(&pooler);
+    let mut old_watch = old_discovery.accept();
+    client.send(&Request::new("1", "reports").message());
+    let mut backend = old.accept();
+    backend.receive_query();
+    // An invalid configuration file is ignored, and the pooler goes on.
+    pooler.reload(&Edit { from: "{\"name\"", to: "{name" });
+    pooler.wait_for_log("reload failed, keeping the configuration");
+    pooler.reload(&Edit { from: "{name", to: "{\"name\"" });
+    pooler.wait_for_log("configuration reloaded");
+    pooler.expect_counters(" reloads=1 reload_failures=1");
+
+    let old_address = old_discovery.address().to_string();
+    let new_address = new_discovery.address().to_string();
+    pooler.reload(&Edit { from: &old_address, to: &new_address });
+    // The indices of another service are unrelated, so the watch starts from 0. The old watch, which neither
+    // earlier reload has touched, ends.
+    let mut new_watch = new_discovery.accept();
+    new_watch.expect_since(0);
+    assert_eq!(old_watch.stream.read(&mut [0]).unwrap(), 0);
+    new_watch.send_list(&EndpointList::snapshot(1, [new.entry("s-1", "here")]));
+    backend.send_result(BINARY_VALUE, Role::Reader);
+    client.expect_result();
+    backend.expect_end();
+    complete_read(&new, &mut client);
+    // A reload during shutdown does not prevent the exit.
+    pooler.signal(Signal::Terminate);
+    pooler.signal(Signal::Hangup);
+    client.expect_end();
+    assert_eq!(pooler.wait_for_exit().code(), Some(0));
+}
