--- a/tests/loopback/attempts.rs
+++ b/tests/loopback/attempts.rs
@@ -4,13 +4,6 @@
 
 use crate::harness::*;
 
-/// The length of a piece of a result that ends within its DataRow.
-const PARTIAL_RESULT_LENGTH: usize = 30;
-
-fn partial_result() -> Vec<u8> {
-    result_set(BINARY_VALUE)[..PARTIAL_RESULT_LENGTH].to_vec()
-}
-
 fn run_in_background(action: impl FnOnce() + Send + 'static) {
     std::thread::spawn(action);
 }
@@ -35,7 +28,7 @@
             FailurePoint::DuringResponse => run_in_background(move || {
                 let mut backend = host.accept();
                 backend.receive_query();
-                backend.send(&partial_result());
+                backend.send(&partial_result_set(BINARY_VALUE));
                 backend.reset();
             }),
         }
@@ -131,7 +124,7 @@
             None
         }
         WriteFailure::ResetMidResponse => {
-            backend.send(&partial_result());
+            backend.send(&partial_result_set(BINARY_VALUE));
             backend.reset();
             None
         }
--- a/tests/loopback/harness/wire.rs
+++ b/tests/loopback/harness/wire.rs
@@ -75,7 +75,7 @@
 }
 
 /// The RowDescription of one binary column named `doc`, of type `bytea`.
-fn row_description() -> Vec<u8> {
+pub fn row_description() -> Vec<u8> {
     let one_column = b"\0\x01";
     let name = b"doc\0";
     let table_and_attribute = [0; 6];
@@ -101,6 +101,11 @@
     [row_description(), data_row(value), command_complete].concat()
 }
 
+/// The first bytes of a result set, up to the type of its DataRow.
+pub fn partial_result_set(value: &[u8]) -> Vec<u8> {
+    result_set(value)[..row_description().len() + 1].to_vec()
+}
+
 /// A ParameterStatus message.
 pub fn parameter_status(name: &str, value: &str) -> Vec<u8> {
     encode_message(message_type::PARAMETER_STATUS, format!("{name}\0{value}\0").as_bytes())
--- a/tests/loopback/malformed_responses.rs
+++ b/tests/loopback/malformed_responses.rs
@@ -7,11 +7,13 @@
 /// A DataRow that announces a value of three gigabytes, without the value.
 const THREE_GIGABYTE_ROW: &[u8] = b"D\xb2\xd0\x5e\0\0\x01\xb2\xd0\x5d\xf6";
 
-/// Where the cases below cut a result set.
-const DESCRIPTION_END: usize = 27;
-
 fn oversized_row() -> Vec<u8> {
-    [&result_set(BINARY_VALUE)[..DESCRIPTION_END], THREE_GIGABYTE_ROW].concat()
+    [&row_description(), THREE_GIGABYTE_ROW].concat()
+}
+
+/// A result set from its DataRow on.
+fn row_without_description() -> Vec<u8> {
+    result_set(BINARY_VALUE)[row_description().len()..].to_vec()
 }
 
 /// Every byte 3 becomes 2, among them the length of the value.
@@ -24,9 +26,9 @@
 #[case::http_status_line(b"HTTP/1.1 500 odd\r\n".to_vec())]
 #[case::oversized_row(oversized_row())]
 #[case::value_shorter_than_its_row(value_shorter_than_its_row())]
-#[case::row_without_description(result_set(BINARY_VALUE)[DESCRIPTION_END..].to_vec())]
+#[case::row_without_description(row_without_description())]
 #[case::two_rows([result_set(BINARY_VALUE), result_set(BINARY_VALUE)].concat())]
-#[case::unfinished_row(result_set(BINARY_VALUE)[..30].to_vec())]
+#[case::unfinished_row(partial_result_set(BINARY_VALUE))]
 fn a_malformed_response_is_a_failed_attempt(#[case] response: Vec<u8>) {
     let near = DatabaseHost::new();
     let far = DatabaseHost::new();
