--- a/tests/loopback/discovery.rs
+++ b/tests/loopback/discovery.rs
@@ -43,7 +43,7 @@
 }
 
 /// Sends that the host is draining, and requires that the pooler applies it well within the 6 s after which the
-/// discovery service takes the pooler for informed.
+/// discovery service treats the pooler as informed.
 fn expect_drain_in_time(
     discovery: &DiscoveryService,
     host: &DatabaseHost,
--- a/tests/loopback/harness/configuration.rs
+++ b/tests/loopback/harness/configuration.rs
@@ -18,7 +18,9 @@
 
 /// A replacement in the text of the configuration.
 pub struct Edit<'a> {
+    /// The text to replace, which has to occur.
     pub from: &'a str,
+    /// Its replacement.
     pub to: &'a str,
 }
 
--- a/tests/loopback/harness/connection.rs
+++ b/tests/loopback/harness/connection.rs
@@ -9,13 +9,16 @@
 
 /// One end of a connection between a client or a database host and the pooler.
 pub struct Connection {
+    /// The socket, for tests that read or close it themselves.
     pub stream: TcpStream,
 }
 
 /// The fields of an ErrorResponse that the tests look at.
 #[derive(Debug, PartialEq)]
 pub struct ErrorResponse {
+    /// The field `C`.
     pub sqlstate: String,
+    /// The field `D`. A rejection holds the milliseconds after which to retry.
     pub detail: Option<String>,
 }
 
--- a/tests/loopback/harness/discovery.rs
+++ b/tests/loopback/harness/discovery.rs
@@ -15,7 +15,9 @@
     pub name: String,
     pub address: SocketAddr,
     pub zone: String,
+    /// Such as `SERVING` or `DRAINING`.
     pub status: &'static str,
+    /// `writer` for the primary, `reader` for a replica, if the list tells.
     pub access: Option<&'static str>,
 }
 
@@ -44,6 +46,7 @@
 
 /// A list of the discovery service. Displays as JSON.
 pub struct EndpointList {
+    /// The version of the list, from which the next watch continues.
     pub index: u64,
     /// Whether hosts that are not in the list have been removed. Otherwise the list holds changes only.
     pub snapshot: bool,
@@ -104,7 +107,9 @@
 
 /// A call of the pooler that waits for the endpoint list and its changes.
 pub struct Watch {
+    /// The socket, for tests that read it or send in the background.
     pub stream: TcpStream,
+    /// The first line of the request.
     pub request_line: String,
 }
 
--- a/tests/loopback/harness/pooler.rs
+++ b/tests/loopback/harness/pooler.rs
@@ -26,6 +26,7 @@
     User1,
     /// Stops the process until [`Signal::Continue`].
     Stop,
+    /// Resumes a stopped process.
     Continue,
 }
 
