--- /dev/null
+++ b/src/state/tests/estimates.rs
@@ -0,0 +1,78 @@
+//! Latency estimates, token buckets and random choices.
+
+use crate::state::{two_of, LatencyEstimator, TokenBucket};
+
+#[test]
+fn a_latency_estimate_follows_its_samples() {
+    let mut latency = LatencyEstimator::new(0.1);
+    assert_eq!((latency.mean, latency.deviation), (0.1, 0.1));
+    for _ in 0..200 {
+        latency.record(0.3, 0.1);
+    }
+    assert!((latency.mean - 0.3).abs() < 1e-6, "{}", latency.mean);
+    assert!(latency.deviation < 1e-6, "{}", latency.deviation);
+    assert_eq!(latency.upper(0.0), latency.mean);
+}
+
+#[test]
+fn the_deviation_is_measured_from_the_mean_before_the_sample() {
+    let mut latency = LatencyEstimator::new(1.0);
+    latency.record(3.0, 0.5);
+    assert_eq!((latency.mean, latency.deviation), (2.0, 1.5));
+    assert_eq!(latency.upper(2.0), 5.0);
+}
+
+#[test]
+fn a_bucket_holds_no_more_than_its_capacity() {
+    let mut bucket = TokenBucket::new(1.0, 2.0);
+    bucket.deposit(10.0);
+    assert!(bucket.try_withdraw());
+    assert!(bucket.try_withdraw());
+    assert!(!bucket.try_withdraw());
+}
+
+#[test]
+fn a_failed_withdrawal_leaves_the_fraction_in_the_bucket() {
+    let mut bucket = TokenBucket::new(0.5, 2.0);
+    assert!(!bucket.try_withdraw());
+    bucket.deposit(0.5);
+    assert!(bucket.try_withdraw());
+}
+
+#[test]
+fn a_forced_withdrawal_takes_what_is_there() {
+    let mut bucket = TokenBucket::new(0.5, 2.0);
+    assert!(!bucket.withdraw());
+    bucket.deposit(0.5);
+    assert!(!bucket.has_token());
+}
+
+#[test]
+fn an_earning_bucket_refills_with_time_and_never_with_time_that_runs_back() {
+    let mut bucket = TokenBucket::earning(0.5, 2.0);
+    assert!(bucket.refill(10.0).withdraw());
+    assert!(bucket.withdraw());
+    assert!(!bucket.refill(5.0).has_token());
+    assert!(!bucket.refill(6.9).has_token());
+    assert!(bucket.refill(7.1).has_token());
+}
+
+#[test]
+fn a_bucket_without_a_limit_always_has_a_token() {
+    let mut bucket = TokenBucket::earning(f64::INFINITY, 2.0);
+    for _ in 0..100 {
+        assert!(bucket.refill(0.0).withdraw());
+    }
+}
+
+#[test]
+fn two_draws_choose_two_different_places() {
+    assert_eq!(two_of(0, (3, 4)), None);
+    assert_eq!(two_of(1, (3, 4)), Some([0, 0]));
+    for len in 2..6 {
+        for draws in (0..40).map(|n| (n % 7, n / 7)) {
+            let [first, second] = two_of(len, draws).expect("there are places");
+            assert!(first != second && first < len && second < len, "{len} {draws:?}");
+        }
+    }
+}
--- /dev/null
+++ b/src/state/tests/mod.rs
@@ -0,0 +1,7 @@
+//! Unit tests of the containers that the policy keeps its data in.
+
+mod endpoint;
+mod endpoint_table;
+mod estimates;
+mod request_table;
+mod session_table;
