--- /dev/null
+++ b/src/net/backend/connection.rs
@@ -0,0 +1,286 @@
+//! One connection to a database host: connects, starts the session, sends queries and reads their replies.
+
+use std::net::SocketAddr;
+
+use mio::net::TcpStream;
+
+use super::exchange::Exchange;
+use super::message_kind;
+use super::reply::{Reply, ReplyError, ReplyStatus};
+use super::state::{Expiry, State};
+use crate::interface::{EndpointId, Outcome};
+use crate::net::buffer::{MemoryBudget, MemoryReservation, ReadStatus, RingBuffer};
+use crate::net::postgres::{self, sqlstate, Message};
+
+/// The user and the database that the startup message names.
+const USER: &str = "app";
+const DATABASE: &str = "shop";
+/// The body of an Authentication message that asks for nothing more.
+const AUTHENTICATION_OK: [u8; 4] = [0; 4];
+
+/// How far an exchange has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Progress {
+    /// It waits for the peer.
+    Pending,
+    /// Its reply has ended and the connection can carry the next exchange.
+    Done,
+    /// It has this outcome and the connection must be closed.
+    Failed(Outcome),
+    /// It has this outcome because the peer sent data that belongs to no valid reply. The connection must be
+    /// closed.
+    Malformed(Outcome),
+}
+
+/// Whether a TCP connection has been established.
+enum ConnectStatus {
+    Pending,
+    Established,
+    Failed,
+}
+
+/// A connection to a database host.
+pub(super) struct Connection {
+    /// The database host.
+    pub endpoint: EndpointId,
+    /// The address of the database host when the connection was opened.
+    pub address: SocketAddr,
+    /// The socket.
+    pub stream: TcpStream,
+    /// When the present state has lasted too long (Unix seconds).
+    pub state_deadline: f64,
+    state: State,
+    input: RingBuffer,
+    output: RingBuffer,
+    /// The memory that the value of the reply takes.
+    value_memory: MemoryReservation,
+}
+
+impl Connection {
+    /// A connection whose stream is being established, to be used for this exchange.
+    pub fn new(
+        endpoint: EndpointId,
+        address: SocketAddr,
+        stream: TcpStream,
+        exchange: Exchange,
+        connect_timeout: f64,
+        budget: &MemoryBudget,
+    ) -> Connection {
+        Connection {
+            endpoint,
+            address,
+            stream,
+            state_deadline: (exchange.started_at + connect_timeout).min(exchange.deadline),
+            state: State::Connecting(exchange),
+            input: RingBuffer::new(budget),
+            output: RingBuffer::new(budget),
+            value_memory: budget.reservation(),
+        }
+    }
+
+    /// Whether the connection waits for an exchange.
+    pub fn is_idle(&self) -> bool {
+        self.state.is_idle()
+    }
+
+    /// Whether data has been received that no exchange has consumed.
+    pub fn has_unread_input(&self) -> bool {
+        !self.input.is_empty()
+    }
+
+    /// Whether nothing of an earlier exchange is left to be read or written.
+    pub fn has_empty_buffers(&self) -> bool {
+        self.input.is_empty() && self.output.is_empty()
+    }
+
+    /// Whether an idle connection is still open and in sync. Reads from the socket, so that no query is sent
+    /// on a connection that the peer has closed while that event is still unhandled.
+    pub fn is_usable(&mut self) -> bool {
+        let read = self.input.read_from(&mut self.stream);
+        matches!(read, Ok(ReadStatus::WouldBlock)) && self.input.is_empty()
+    }
+
+    /// Starts an exchange on an idle connection.
+    pub fn start(&mut self, exchange: Exchange, now: f64, response_timeout: f64) -> Progress {
+        match self.send_query(exchange, now) {
+            Progress::Pending => self.poll(now, response_timeout),
+            progress => progress,
+        }
+    }
+
+    /// Withdraws the exchange, if there is one, with what has been received of its reply.
+    pub fn take_exchange(&mut self) -> Option<(Exchange, Reply)> {
+        self.state.take_exchange()
+    }
+
+    /// Ends an exchange whose reply has ended. The connection is idle from then on, until `idle_deadline`.
+    pub fn finish_exchange(&mut self, idle_deadline: f64) -> Option<(Exchange, Reply)> {
+        let finished = self.take_exchange()?;
+        self.state_deadline = idle_deadline;
+        // Releasing memory always succeeds.
+        let _ = self.value_memory.resize(0);
+        Some(finished)
+    }
+
+    /// Reads, processes and writes as far as possible without blocking. Once a reply has begun, the rest of
+    /// it is due within `response_timeout`: a reply may announce more data than its sender ever sends.
+    pub fn poll(&mut self, now: f64, response_timeout: f64) -> Progress {
+        let progress = self.advance(now);
+        let has_unread_input = self.has_unread_input();
+        if let State::Busy { reply, response_started, .. } = &mut self.state {
+            if !*response_started && (reply.has_started() || has_unread_input) {
+                *response_started = true;
+                self.state_deadline = self.state_deadline.min(now + response_timeout);
+            }
+        }
+        progress
+    }
+
+    /// Ends the exchange because the present state has lasted too long.
+    pub fn expire(&mut self, now: f64, connect_timeout: f64) -> Progress {
+        match self.state.expiry(now, connect_timeout, self.is_output_sent()) {
+            Expiry::ReplyStalled => self.reject_malformed(),
+            Expiry::Failed(outcome) => Progress::Failed(outcome),
+        }
+    }
+
+    /// Reads, processes and writes until the peer must act or the exchange ends.
+    fn advance(&mut self, now: f64) -> Progress {
+        if matches!(self.state, State::Connecting(_)) {
+            match self.finish_connecting() {
+                ConnectStatus::Established => {}
+                ConnectStatus::Pending => return Progress::Pending,
+                ConnectStatus::Failed => return Progress::Failed(Outcome::ConnectFailed),
+            }
+        }
+        loop {
+            if self.output.write_to(&mut self.stream).is_err() {
+                return self.connection_lost();
+            }
+            // What was received before a reset is still processed.
+            let read = self.input.read_from(&mut self.stream).unwrap_or(ReadStatus::Completion);
+            let unprocessed = self.input.len();
+            let was_starting = self.state.is_starting();
+            let progress = self.process_messages(now);
+            if progress != Progress::Pending {
+                return progress;
+            }
+            if read == ReadStatus::Completion {
+                return self.connection_lost();
+            }
+            // Readiness is edge-triggered: no further event comes for data left in the socket because the
+            // buffer was full, nor for a query that was queued just now.
+            let can_read_more = read == ReadStatus::Full && self.input.len() != unprocessed;
+            let query_queued = was_starting && !self.state.is_starting();
+            if !can_read_more && !query_queued {
+                return Progress::Pending;
+            }
+        }
+    }
+
+    /// Checks whether the TCP connection has been established; if so, queues the startup message.
+    fn finish_connecting(&mut self) -> ConnectStatus {
+        match self.stream.take_error() {
+            Ok(None) => {}
+            Ok(Some(_)) | Err(_) => return ConnectStatus::Failed,
+        }
+        if self.stream.peer_addr().is_err() {
+            return ConnectStatus::Pending;
+        }
+        // Without it the connection is slower, but works.
+        let _ = self.stream.set_nodelay(true);
+        if let Some((exchange, _)) = self.take_exchange() {
+            self.state = State::Starting(exchange);
+        }
+        match self.output.push(&postgres::startup_message(USER, DATABASE)) {
+            Ok(()) => ConnectStatus::Established,
+            Err(_) => ConnectStatus::Failed,
+        }
+    }
+
+    /// Queues the query of an exchange. Fails without sending any of it if memory is short.
+    fn send_query(&mut self, exchange: Exchange, now: f64) -> Progress {
+        let query = exchange.query_message(now);
+        self.state_deadline = exchange.deadline;
+        self.state = State::busy(exchange);
+        match self.output.push(&query) {
+            Ok(()) => Progress::Pending,
+            Err(_) => Progress::Failed(Outcome::NotSent),
+        }
+    }
+
+    /// Processes each complete message in the input buffer.
+    fn process_messages(&mut self, now: f64) -> Progress {
+        loop {
+            let message = match postgres::read_server_message(&mut self.input) {
+                Ok(Some(message)) => message,
+                Ok(None) => return Progress::Pending,
+                Err(_) => return self.reject_malformed(),
+            };
+            let progress = self.process_message(&message, now);
+            if progress != Progress::Pending {
+                return progress;
+            }
+        }
+    }
+
+    /// Processes one message as the present state requires.
+    fn process_message(&mut self, message: &Message, now: f64) -> Progress {
+        if matches!(message.kind, message_kind::NOTICE_RESPONSE | message_kind::BACKEND_KEY_DATA) {
+            return Progress::Pending;
+        }
+        match &mut self.state {
+            State::Connecting(_) => self.reject_malformed(),
+            State::Starting(_) => self.process_startup_message(message, now),
+            State::Idle if message.kind == message_kind::PARAMETER_STATUS => Progress::Pending,
+            State::Idle => self.reject_malformed(),
+            State::Busy { exchange, reply, .. } => {
+                match reply.add_message(message, &exchange.task, &mut self.value_memory) {
+                    Ok(ReplyStatus::Incomplete) => Progress::Pending,
+                    Ok(ReplyStatus::ReadyForQuery) => Progress::Done,
+                    Ok(ReplyStatus::FatalError) => self.connection_lost(),
+                    Err(ReplyError::UnexpectedMessage) => self.reject_malformed(),
+                    Err(ReplyError::OutOfMemory) => Progress::Failed(Outcome::Error),
+                }
+            }
+        }
+    }
+
+    /// Processes a message of the session start. Sends the query as soon as the session is ready.
+    fn process_startup_message(&mut self, message: &Message, now: f64) -> Progress {
+        match message.kind {
+            message_kind::PARAMETER_STATUS => Progress::Pending,
+            message_kind::AUTHENTICATION if message.body == AUTHENTICATION_OK => Progress::Pending,
+            message_kind::ERROR_RESPONSE => Progress::Failed(startup_error_outcome(&message.body)),
+            message_kind::READY_FOR_QUERY => match self.take_exchange() {
+                Some((exchange, _)) => self.send_query(exchange, now),
+                None => Progress::Failed(Outcome::NotSent),
+            },
+            _ => self.reject_malformed(),
+        }
+    }
+
+    /// Ends the exchange because the connection has ended.
+    fn connection_lost(&self) -> Progress {
+        Progress::Failed(self.state.outcome_of_lost_connection(self.is_output_sent()))
+    }
+
+    /// Ends the exchange because the peer sent data that belongs to no valid reply.
+    fn reject_malformed(&mut self) -> Progress {
+        Progress::Malformed(self.state.discard_malformed_reply())
+    }
+
+    fn is_output_sent(&self) -> bool {
+        self.output.is_empty()
+    }
+}
+
+/// The outcome of an exchange whose session the database host has refused to start.
+fn startup_error_outcome(body: &[u8]) -> Outcome {
+    let (code, _) = postgres::parse_error_response(body);
+    if code == sqlstate::TOO_MANY_CONNECTIONS {
+        Outcome::Overloaded
+    } else {
+        Outcome::ConnectFailed
+    }
+}
--- /dev/null
+++ b/src/net/backend/exchange.rs
@@ -0,0 +1,60 @@
+//! One task that is carried out over a connection, from its start to its completion.
+
+use super::reply::Reply;
+use crate::interface::{EndpointId, Outcome};
+use crate::net::postgres;
+use crate::net::{Completion, Context, Event, Task};
+
+/// The query that a health check sends. Its only value is the load report.
+const LOAD_REPORT_QUERY: &[u8] = b"SHOW usage";
+
+/// A task and its times.
+pub(super) struct Exchange {
+    /// What is carried out.
+    pub task: Task,
+    /// When the task was handed to the backend (Unix seconds).
+    pub started_at: f64,
+    /// When its result is no longer wanted (Unix seconds).
+    pub deadline: f64,
+}
+
+impl Exchange {
+    /// An exchange that starts now and may take `timeout` seconds.
+    pub fn new(task: Task, now: f64, timeout: f64) -> Exchange {
+        Exchange { task, started_at: now, deadline: now + timeout }
+    }
+
+    /// The Query message for the task. A statement announces the time that is left until the deadline.
+    pub fn query_message(&self, now: f64) -> Vec<u8> {
+        match &self.task {
+            Task::Attempt(_, _, statement) => {
+                let sql = statement.with_timeout(self.deadline - now);
+                postgres::query_message(&sql)
+            }
+            Task::HealthCheck => postgres::query_message(LOAD_REPORT_QUERY),
+        }
+    }
+
+    /// Queues the event that reports the end of the task.
+    pub fn complete(self, endpoint: &EndpointId, outcome: Outcome, reply: Reply, context: &mut Context) {
+        if self.lacks_load_report(outcome, &reply) {
+            context.counters.unreadable_reports += 1;
+        }
+        let completion = Completion {
+            task: self.task,
+            endpoint: endpoint.clone(),
+            outcome,
+            elapsed: context.reactor.now() - self.started_at,
+            log_position: reply.log_position,
+            primary: reply.primary,
+            report: reply.report.unwrap_or_default(),
+            value: reply.value,
+        };
+        context.events.push_back(Event::TaskCompleted(Box::new(completion)));
+    }
+
+    /// Whether a health check succeeded but its load report could not be parsed.
+    fn lacks_load_report(&self, outcome: Outcome, reply: &Reply) -> bool {
+        matches!(self.task, Task::HealthCheck) && outcome == Outcome::Success && reply.report.is_none()
+    }
+}
--- /dev/null
+++ b/src/net/backend/mod.rs
@@ -0,0 +1,218 @@
+//! The backend: keeps connections to database hosts and carries out attempts and health checks over them.
+//!
+//! The end of each task is reported by an [`Event::TaskCompleted`](super::Event::TaskCompleted).
+
+mod connect_error;
+mod connection;
+mod exchange;
+mod message_kind;
+mod pool;
+mod reply;
+mod state;
+
+use std::net::SocketAddr;
+
+use mio::net::TcpStream;
+use mio::Interest;
+
+use super::buffer::MemoryBudget;
+use super::reactor::{ConnectionId, EventSource, TimerEvent};
+use super::{Context, Task};
+use crate::endpoint_list::ListedEndpoint;
+use crate::interface::{EndpointId, Outcome, UpdateKind};
+use connect_error::ConnectError;
+use connection::{Connection, Progress};
+use exchange::Exchange;
+use pool::Pool;
+use reply::Reply;
+
+/// Idle connections are closed after this share of the time for which a database host keeps them. A query
+/// that is sent while the host closes its connection would end in a reset.
+const IDLE_TIMEOUT_SHARE: f64 = 0.7;
+
+/// Carries out tasks on database hosts.
+pub(crate) struct Backend {
+    pool: Pool,
+    budget: MemoryBudget,
+    /// How long a connection stays idle until it is closed (seconds).
+    idle_timeout: f64,
+    /// How long a connection may take to become ready for a query, and a reply to end once it has begun
+    /// (seconds).
+    connect_timeout: f64,
+}
+
+impl Backend {
+    /// A backend without connections. `keepalive` is how long a database host keeps an idle connection
+    /// (seconds).
+    pub fn new(
+        max_connections: usize,
+        budget: MemoryBudget,
+        keepalive: f64,
+        connect_timeout: f64,
+    ) -> Backend {
+        Backend {
+            pool: Pool::new(max_connections),
+            budget,
+            idle_timeout: keepalive * IDLE_TIMEOUT_SHARE,
+            connect_timeout,
+        }
+    }
+
+    /// Applies an update of the endpoint list.
+    pub fn update_endpoints(&mut self, kind: UpdateKind, endpoints: &[ListedEndpoint], now: f64) {
+        self.pool.update_endpoints(kind, endpoints, now);
+    }
+
+    /// Closes the idle connections to a database host.
+    pub fn close_idle_connections(&mut self, endpoint: &EndpointId) {
+        self.pool.close_idle_connections(endpoint);
+    }
+
+    /// Starts a task. Returns the connection that carries it, if there is one.
+    pub fn send(
+        &mut self,
+        task: Task,
+        endpoint: &EndpointId,
+        timeout: f64,
+        context: &mut Context,
+    ) -> Option<ConnectionId> {
+        let now = context.reactor.now();
+        let exchange = Exchange::new(task, now, timeout);
+        if let Some(id) = self.pool.take_idle(endpoint) {
+            if let Some(connection) = self.pool.get_mut(id) {
+                let progress = connection.start(exchange, now, self.connect_timeout);
+                context.reactor.set_timer(connection.state_deadline, TimerEvent::Server(id));
+                self.handle_progress(id, progress, context);
+                return Some(id);
+            }
+        }
+        self.send_on_new_connection(exchange, endpoint, context)
+    }
+
+    fn send_on_new_connection(
+        &mut self,
+        exchange: Exchange,
+        endpoint: &EndpointId,
+        context: &mut Context,
+    ) -> Option<ConnectionId> {
+        let (address, stream) = match self.connect(endpoint) {
+            Ok(connected) => connected,
+            Err(error) => {
+                exchange.complete(endpoint, error.outcome(), Reply::default(), context);
+                return None;
+            }
+        };
+        context.counters.backend_connects += 1;
+        let connection =
+            Connection::new(endpoint.clone(), address, stream, exchange, self.connect_timeout, &self.budget);
+        let id = self.pool.insert(connection);
+        self.register(id, context);
+        Some(id)
+    }
+
+    /// Starts to establish a TCP connection to a database host.
+    fn connect(&mut self, endpoint: &EndpointId) -> Result<(SocketAddr, TcpStream), ConnectError> {
+        let address = self.pool.address(endpoint).ok_or(ConnectError::UnknownHost)?;
+        if !self.pool.make_room() {
+            return Err(ConnectError::TooManyConnections);
+        }
+        let stream = TcpStream::connect(address)?;
+        Ok((address, stream))
+    }
+
+    /// Sets the timer of a new connection and registers it for events.
+    fn register(&mut self, id: ConnectionId, context: &mut Context) {
+        let Some(connection) = self.pool.get_mut(id) else { return };
+        context.reactor.set_timer(connection.state_deadline, TimerEvent::Server(id));
+        let token = EventSource::Server(id).into();
+        let interests = Interest::READABLE | Interest::WRITABLE;
+        if context.reactor.registry.register(&mut connection.stream, token, interests).is_err() {
+            self.handle_progress(id, Progress::Failed(Outcome::ConnectFailed), context);
+        }
+    }
+
+    /// Handles an event on a connection, which may be readable or writable.
+    pub fn ready(&mut self, id: ConnectionId, context: &mut Context) {
+        let now = context.reactor.now();
+        let Some(connection) = self.pool.get_mut(id) else { return };
+        let previous_deadline = connection.state_deadline;
+        let progress = connection.poll(now, self.connect_timeout);
+        if connection.state_deadline != previous_deadline {
+            context.reactor.set_timer(connection.state_deadline, TimerEvent::Server(id));
+        }
+        self.handle_progress(id, progress, context);
+    }
+
+    /// Handles a timer of a connection.
+    pub fn timer_expired(&mut self, id: ConnectionId, context: &mut Context) {
+        let now = context.reactor.now();
+        // Timers are not withdrawn: this one may belong to an earlier state of the connection.
+        if !self.is_expired(id, now) {
+            return;
+        }
+        // What has been received by now still counts, even if its event has not been handled yet.
+        self.ready(id, context);
+        if !self.is_expired(id, now) {
+            return;
+        }
+        let Some(connection) = self.pool.get_mut(id) else { return };
+        let progress = connection.expire(now, self.connect_timeout);
+        self.handle_progress(id, progress, context);
+    }
+
+    /// Whether a connection exists and its present state has lasted too long.
+    fn is_expired(&mut self, id: ConnectionId, now: f64) -> bool {
+        self.pool.get_mut(id).is_some_and(|connection| connection.state_deadline <= now)
+    }
+
+    /// Cancels the task on a connection. The database host learns of it when the connection is closed.
+    pub fn cancel(&mut self, id: ConnectionId, context: &mut Context) {
+        self.handle_progress(id, Progress::Failed(Outcome::Cancelled), context);
+    }
+
+    fn handle_progress(&mut self, id: ConnectionId, progress: Progress, context: &mut Context) {
+        match progress {
+            Progress::Pending => {}
+            Progress::Done => self.finish_exchange(id, context),
+            Progress::Failed(outcome) => self.close(id, outcome, context),
+            Progress::Malformed(outcome) => {
+                self.count_malformed(id, context);
+                self.close(id, outcome, context);
+            }
+        }
+    }
+
+    /// Reports the end of an exchange and keeps its connection for further use, if possible.
+    fn finish_exchange(&mut self, id: ConnectionId, context: &mut Context) {
+        let Some(connection) = self.pool.get_mut(id) else { return };
+        let idle_deadline = context.reactor.now() + self.idle_timeout;
+        let Some((exchange, reply)) = connection.finish_exchange(idle_deadline) else { return };
+        if connection.has_unread_input() {
+            context.counters.unsolicited_messages += 1;
+        }
+        let endpoint = connection.endpoint.clone();
+        context.reactor.set_timer(idle_deadline, TimerEvent::Server(id));
+        self.pool.release(id);
+        // Without a complete result set the reply is invalid, but the request may have been executed.
+        let outcome = reply.outcome().unwrap_or(Outcome::Error);
+        exchange.complete(&endpoint, outcome, reply, context);
+    }
+
+    /// Counts malformed data, which either belongs to a reply or came without a request.
+    fn count_malformed(&mut self, id: ConnectionId, context: &mut Context) {
+        let Some(connection) = self.pool.get_mut(id) else { return };
+        if connection.is_idle() {
+            context.counters.unsolicited_messages += 1;
+        } else {
+            context.counters.malformed_answers += 1;
+        }
+    }
+
+    /// Closes a connection and reports the end of its exchange, if it has one.
+    fn close(&mut self, id: ConnectionId, outcome: Outcome, context: &mut Context) {
+        let Some(mut connection) = self.pool.remove(id) else { return };
+        if let Some((exchange, reply)) = connection.take_exchange() {
+            exchange.complete(&connection.endpoint, outcome, reply, context);
+        }
+    }
+}
--- /dev/null
+++ b/src/net/backend/reply.rs
@@ -0,0 +1,177 @@
+//! The reply of a database host to one query, as far as it has been received.
+
+use super::message_kind;
+use crate::interface::{LoadReport, Outcome};
+use crate::load_report;
+use crate::net::buffer::MemoryReservation;
+use crate::net::postgres::{self, sqlstate, Message};
+use crate::net::Task;
+
+/// The parameter that holds the commit time of the log position (Unix milliseconds).
+const LOG_POSITION_PARAMETER: &str = "commit_clock";
+/// The parameter that holds the role of the database host.
+const ROLE_PARAMETER: &str = "server_role";
+const PRIMARY_ROLE: &str = "writer";
+const REPLICA_ROLE: &str = "reader";
+
+/// How far the result set of one query has been received. It has exactly one row.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum ResultSet {
+    #[default]
+    AwaitingRowDescription,
+    AwaitingDataRow,
+    AwaitingCommandComplete,
+    Complete,
+}
+
+impl ResultSet {
+    /// The state after a message of this kind; none if the message is out of order.
+    fn after(self, kind: u8) -> Option<ResultSet> {
+        match (self, kind) {
+            (ResultSet::AwaitingRowDescription, message_kind::ROW_DESCRIPTION) => {
+                Some(ResultSet::AwaitingDataRow)
+            }
+            (ResultSet::AwaitingDataRow, message_kind::DATA_ROW) => Some(ResultSet::AwaitingCommandComplete),
+            (ResultSet::AwaitingCommandComplete, message_kind::COMMAND_COMPLETE) => Some(ResultSet::Complete),
+            _ => None,
+        }
+    }
+}
+
+/// What a message means for the exchange.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ReplyStatus {
+    /// More messages follow.
+    Incomplete,
+    /// The reply has ended and the connection is ready for the next query.
+    ReadyForQuery,
+    /// The database host is about to close the connection.
+    FatalError,
+}
+
+/// Why a message cannot be added to a reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(super) enum ReplyError {
+    /// The message is out of order or has no place in a reply.
+    #[error("the message does not belong to the reply to one query")]
+    UnexpectedMessage,
+    /// The memory budget does not allow a value of this size.
+    #[error("the memory for the value is exhausted")]
+    OutOfMemory,
+}
+
+/// What has been received in reply to one query.
+#[derive(Default)]
+pub(super) struct Reply {
+    result_set: ResultSet,
+    /// The SQLSTATE of the latest ErrorResponse.
+    error_code: Option<String>,
+    /// The messages of the result set as they were received; empty for a health check.
+    pub value: Vec<u8>,
+    /// The log position that the database host had reached (Unix seconds).
+    pub log_position: Option<f64>,
+    /// Whether the database host says that it is the primary.
+    pub primary: Option<bool>,
+    /// The load report that a health check has asked for, if it could be parsed.
+    pub report: Option<LoadReport>,
+}
+
+impl Reply {
+    /// The outcome of the exchange; none while the reply contains neither an error nor a complete result set.
+    pub fn outcome(&self) -> Option<Outcome> {
+        match &self.error_code {
+            Some(code) => Some(error_outcome(code)),
+            None if self.result_set == ResultSet::Complete => Some(Outcome::Success),
+            None => None,
+        }
+    }
+
+    /// Whether a part of the result set or an error has been received.
+    pub fn has_started(&self) -> bool {
+        self.result_set != ResultSet::AwaitingRowDescription || self.error_code.is_some()
+    }
+
+    /// Adds a message. `value_memory` is the memory that the value takes.
+    pub fn add_message(
+        &mut self,
+        message: &Message,
+        task: &Task,
+        value_memory: &mut MemoryReservation,
+    ) -> Result<ReplyStatus, ReplyError> {
+        match message.kind {
+            message_kind::PARAMETER_STATUS => self.add_parameter(&message.body),
+            message_kind::ROW_DESCRIPTION | message_kind::DATA_ROW | message_kind::COMMAND_COMPLETE => {
+                self.add_result_message(message, task, value_memory)?;
+            }
+            message_kind::ERROR_RESPONSE => return Ok(self.add_error(&message.body)),
+            message_kind::READY_FOR_QUERY => return Ok(ReplyStatus::ReadyForQuery),
+            _ => return Err(ReplyError::UnexpectedMessage),
+        }
+        Ok(ReplyStatus::Incomplete)
+    }
+
+    fn add_parameter(&mut self, body: &[u8]) {
+        match postgres::parse_parameter_status(body) {
+            Some((LOG_POSITION_PARAMETER, value)) => {
+                self.log_position = value.parse::<f64>().ok().map(|millis| millis / 1000.0);
+            }
+            Some((ROLE_PARAMETER, PRIMARY_ROLE)) => self.primary = Some(true),
+            Some((ROLE_PARAMETER, REPLICA_ROLE)) => self.primary = Some(false),
+            _ => {}
+        }
+    }
+
+    fn add_result_message(
+        &mut self,
+        message: &Message,
+        task: &Task,
+        value_memory: &mut MemoryReservation,
+    ) -> Result<(), ReplyError> {
+        self.result_set = self.result_set.after(message.kind).ok_or(ReplyError::UnexpectedMessage)?;
+        match task {
+            Task::HealthCheck => {
+                if message.kind == message_kind::DATA_ROW {
+                    self.report = postgres::single_column(&message.body).and_then(load_report::parse);
+                }
+                Ok(())
+            }
+            Task::Attempt(..) => self.append_to_value(message, value_memory),
+        }
+    }
+
+    /// Appends a message to the value. Each message has its own bound, but all values together must also fit
+    /// the memory budget.
+    fn append_to_value(
+        &mut self,
+        message: &Message,
+        value_memory: &mut MemoryReservation,
+    ) -> Result<(), ReplyError> {
+        let size = self.value.len() + message.body.len();
+        value_memory.resize(size).map_err(|_| ReplyError::OutOfMemory)?;
+        postgres::append_message(&mut self.value, message);
+        Ok(())
+    }
+
+    fn add_error(&mut self, body: &[u8]) -> ReplyStatus {
+        let (code, fatal) = postgres::parse_error_response(body);
+        self.error_code = Some(code);
+        if fatal {
+            ReplyStatus::FatalError
+        } else {
+            ReplyStatus::Incomplete
+        }
+    }
+}
+
+/// The outcome of an exchange that the database host has answered with an error.
+fn error_outcome(code: &str) -> Outcome {
+    match code {
+        sqlstate::TOO_MANY_CONNECTIONS => Outcome::Overloaded,
+        sqlstate::READ_ONLY_TRANSACTION | sqlstate::SNAPSHOT_TOO_OLD => Outcome::Ineligible,
+        _ if postgres::is_statement_error(code) => Outcome::InvalidRequest,
+        _ => Outcome::Error,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/backend/state/tests.rs
@@ -0,0 +1,86 @@
+use rstest::rstest;
+
+use super::*;
+use crate::net::buffer::MemoryBudget;
+use crate::net::postgres::Message;
+use crate::net::Task;
+
+const STARTED_AT: f64 = 100.0;
+const CONNECT_TIMEOUT: f64 = 1.0;
+const TIMEOUT: f64 = 5.0;
+
+fn exchange() -> Exchange {
+    Exchange::new(Task::HealthCheck, STARTED_AT, TIMEOUT)
+}
+
+/// A state whose reply is an ErrorResponse with this code, or empty.
+fn busy(error_code: Option<&str>, response_started: bool) -> State {
+    let mut reply = Reply::default();
+    let mut value_memory = MemoryBudget::new(0).reservation();
+    if let Some(code) = error_code {
+        let body = format!("SERROR\0C{code}\0\0").into_bytes();
+        reply.add_message(&Message { kind: b'E', body }, &Task::HealthCheck, &mut value_memory).unwrap();
+    }
+    State::Busy { exchange: exchange(), reply, response_started }
+}
+
+#[rstest]
+#[case::connecting(State::Connecting(exchange()), true, Outcome::ConnectFailed)]
+#[case::starting(State::Starting(exchange()), true, Outcome::ConnectFailed)]
+#[case::query_not_sent(busy(None, false), false, Outcome::ConnectFailed)]
+#[case::query_not_sent_despite_an_error(busy(Some("53300"), true), false, Outcome::ConnectFailed)]
+#[case::query_sent(busy(None, false), true, Outcome::ConnectionReset)]
+#[case::error_received(busy(Some("25006"), true), true, Outcome::Ineligible)]
+fn a_lost_connection_may_have_executed_only_a_sent_query(
+    #[case] state: State,
+    #[case] output_sent: bool,
+    #[case] outcome: Outcome,
+) {
+    assert_eq!(state.outcome_of_lost_connection(output_sent), outcome);
+}
+
+#[rstest]
+#[case::connecting(State::Connecting(exchange()), Outcome::ConnectFailed, false)]
+#[case::starting(State::Starting(exchange()), Outcome::ConnectFailed, false)]
+#[case::no_reply(busy(None, false), Outcome::Error, false)]
+#[case::an_error_that_proves_nothing(busy(Some("58000"), true), Outcome::Error, false)]
+#[case::an_error_that_proves_no_execution(busy(Some("53300"), true), Outcome::Overloaded, true)]
+fn a_malformed_reply_is_discarded_unless_it_proves_that_nothing_was_executed(
+    #[case] mut state: State,
+    #[case] outcome: Outcome,
+    #[case] reply_is_kept: bool,
+) {
+    assert_eq!(state.discard_malformed_reply(), outcome);
+    let (_, reply) = state.take_exchange().unwrap();
+    assert_eq!(reply.has_started(), reply_is_kept);
+}
+
+#[rstest]
+#[case::connecting(State::Connecting(exchange()), 101.0, true, Expiry::Failed(Outcome::ConnectFailed))]
+#[case::starting(State::Starting(exchange()), 101.0, true, Expiry::Failed(Outcome::ConnectFailed))]
+#[case::starting_at_an_earlier_deadline(
+    State::Starting(exchange()),
+    100.5,
+    true,
+    Expiry::Failed(Outcome::Timeout)
+)]
+#[case::query_not_sent(busy(None, true), 105.0, false, Expiry::Failed(Outcome::ConnectFailed))]
+#[case::no_reply(busy(None, false), 105.0, true, Expiry::Failed(Outcome::Timeout))]
+#[case::part_of_a_reply(busy(None, true), 105.0, true, Expiry::ReplyStalled)]
+#[case::idle(State::Idle, 105.0, true, Expiry::Failed(Outcome::Timeout))]
+fn the_state_decides_how_an_exchange_expires(
+    #[case] state: State,
+    #[case] now: f64,
+    #[case] output_sent: bool,
+    #[case] expiry: Expiry,
+) {
+    assert_eq!(state.expiry(now, CONNECT_TIMEOUT, output_sent), expiry);
+}
+
+#[test]
+fn taking_the_exchange_leaves_the_connection_idle() {
+    let mut state = State::busy(exchange());
+    assert!(state.take_exchange().is_some());
+    assert!(state.is_idle());
+    assert!(state.take_exchange().is_none());
+}
--- a/src/net/pooler/actions.rs
+++ b/src/net/pooler/actions.rs
@@ -27,7 +27,7 @@
             Action::Fail { id } => self.finish_request(&id, Response::Failed, context),
             Action::SetTimer { at, cookie } => context.reactor.set_timer(at, TimerEvent::Policy(cookie)),
             Action::HealthCheck { endpoint } => self.send_health_check(&endpoint, context),
-            Action::CloseIdleConnections { endpoint } => self.backend.let_go(&endpoint),
+            Action::CloseIdleConnections { endpoint } => self.backend.close_idle_connections(&endpoint),
             Action::Watch => self.discovery.listen(context),
             Action::Log(change) => log_state_change(&change),
         }
