--- a/src/net/backend/connection.rs
+++ b/src/net/backend/connection.rs
@@ -5,11 +5,11 @@
 use mio::net::TcpStream;
 
 use super::exchange::Exchange;
-use super::message_kind;
 use super::reply::{Reply, ReplyError, ReplyStatus};
 use super::state::{Expiry, State};
 use crate::interface::{EndpointId, Outcome};
 use crate::net::buffer::{MemoryBudget, MemoryReservation, ReadStatus, RingBuffer};
+use crate::net::postgres::message_kind::server as message_kind;
 use crate::net::postgres::{self, sqlstate, Message};
 
 /// The user and the database that the startup message names.
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -5,7 +5,6 @@
 mod connect_error;
 mod connection;
 mod exchange;
-mod message_kind;
 mod pool;
 mod reply;
 mod state;
--- a/src/net/backend/reply.rs
+++ b/src/net/backend/reply.rs
@@ -1,9 +1,9 @@
 //! The reply of a database host to one query, as far as it has been received.
 
-use super::message_kind;
 use crate::interface::{LoadReport, Outcome};
 use crate::load_report;
 use crate::net::buffer::MemoryReservation;
+use crate::net::postgres::message_kind::server as message_kind;
 use crate::net::postgres::{self, sqlstate, Message};
 use crate::net::Task;
 
--- a/src/net/frontend/session.rs
+++ b/src/net/frontend/session.rs
@@ -2,6 +2,7 @@
 
 use super::connection::{Connection, ConnectionClosed, State};
 use super::ServiceStatus;
+use crate::net::postgres::message_kind::client;
 use crate::net::postgres::{self, sqlstate, FrameError, Message, ParsedQuery, Startup};
 use crate::net::reactor::ConnectionId;
 use crate::net::{Context, Event, Query};
@@ -110,23 +111,23 @@
         context: &mut Context,
     ) -> Result<(), ConnectionClosed> {
         match message.kind {
-            // Terminate.
-            b'X' => Err(ConnectionClosed),
-            // Sync.
-            b'S' => {
+            client::TERMINATE => Err(ConnectionClosed),
+            client::SYNC => {
                 self.state = State::Idle;
                 Ok(self.output.push(&postgres::ready_for_query())?)
             }
             _ if self.state == State::SkippingToSync => Ok(()),
-            // Query.
-            b'Q' => self.process_query(&message.body, id, service, context),
-            // Parse, Bind, Describe, Execute and Close.
-            b'P' | b'B' | b'D' | b'E' | b'C' => self.reject_extended_query(),
-            // FunctionCall.
-            b'F' => self.send_error(sqlstate::FEATURE_NOT_SUPPORTED, "function calls are not served", None),
+            client::QUERY => self.process_query(&message.body, id, service, context),
+            client::PARSE | client::BIND | client::DESCRIBE | client::EXECUTE | client::CLOSE => {
+                self.reject_extended_query()
+            }
+            client::FUNCTION_CALL => {
+                self.send_error(sqlstate::FEATURE_NOT_SUPPORTED, "function calls are not served", None)
+            }
             // Flush has no effect here. A password or copy message belongs to an exchange that is over or was
             // never started.
-            b'H' | b'p' | b'd' | b'c' | b'f' => Ok(()),
+            client::FLUSH | client::PASSWORD => Ok(()),
+            client::COPY_DATA | client::COPY_DONE | client::COPY_FAIL => Ok(()),
             _ => self.send_fatal_error(id, sqlstate::PROTOCOL_VIOLATION, "unknown message", context),
         }
     }
--- a/src/net/postgres/message_kind.rs
+++ b/src/net/postgres/message_kind.rs
@@ -3,7 +3,20 @@
 
 /// Messages that clients send.
 pub(crate) mod client {
+    pub const BIND: u8 = b'B';
+    pub const CLOSE: u8 = b'C';
+    pub const COPY_DATA: u8 = b'd';
+    pub const COPY_DONE: u8 = b'c';
+    pub const COPY_FAIL: u8 = b'f';
+    pub const DESCRIBE: u8 = b'D';
+    pub const EXECUTE: u8 = b'E';
+    pub const FLUSH: u8 = b'H';
+    pub const FUNCTION_CALL: u8 = b'F';
+    pub const PARSE: u8 = b'P';
+    pub const PASSWORD: u8 = b'p';
     pub const QUERY: u8 = b'Q';
+    pub const SYNC: u8 = b'S';
+    pub const TERMINATE: u8 = b'X';
 }
 
 /// Messages that servers send.
