--- a/src/net/backend/connection.rs
+++ b/src/net/backend/connection.rs
@@ -158,14 +158,14 @@
                 return self.connection_lost();
             }
             // What was received before a reset is still processed.
-            let read = self.input.read_from(&mut self.stream).unwrap_or(ReadStatus::Completion);
+            let read = self.input.read_from(&mut self.stream).unwrap_or(ReadStatus::EndOfStream);
             let unprocessed = self.input.len();
             let was_starting = self.state.is_starting();
             let progress = self.process_messages(now);
             if progress != Progress::Pending {
                 return progress;
             }
-            if read == ReadStatus::Completion {
+            if read == ReadStatus::EndOfStream {
                 return self.connection_lost();
             }
             // Readiness is edge-triggered: no further event comes for data left in the socket because the
--- a/src/net/buffer/ring_buffer.rs
+++ b/src/net/buffer/ring_buffer.rs
@@ -22,7 +22,7 @@
     /// The source has no more bytes at present.
     WouldBlock,
     /// The source has reached its end.
-    Completion,
+    EndOfStream,
     /// The buffer has reached its maximum size, or the memory budget is exhausted.
     Full,
 }
@@ -83,7 +83,7 @@
             }
             let free = self.first_free_range();
             match source.read(&mut self.storage[free]) {
-                Ok(0) => return Ok(ReadStatus::Completion),
+                Ok(0) => return Ok(ReadStatus::EndOfStream),
                 Ok(count) => self.record_added(count),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     self.free_if_empty();
--- a/src/net/buffer/tests.rs
+++ b/src/net/buffer/tests.rs
@@ -49,7 +49,7 @@
     assert!(two.push(&vec![2; INITIAL_SIZE]).is_err(), "past the shared budget");
     assert_eq!(two.read_from(&mut &[3; MAX_BUFFER_SIZE][..]).unwrap(), ReadStatus::Full);
     one.skip(MAX_BUFFER_SIZE);
-    assert_eq!(two.read_from(&mut &[3; INITIAL_SIZE][..]).unwrap(), ReadStatus::Completion);
+    assert_eq!(two.read_from(&mut &[3; INITIAL_SIZE][..]).unwrap(), ReadStatus::EndOfStream);
     drop((one, two));
     assert_eq!(budget.available(), MAX_BUFFER_SIZE + INITIAL_SIZE);
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -127,7 +127,7 @@
             let before = self.input.len();
             while self.part(updates)? {}
             match fill {
-                ReadStatus::Completion => return Err("the watch ended"),
+                ReadStatus::EndOfStream => return Err("the watch ended"),
                 ReadStatus::WouldBlock => return Ok(()),
                 ReadStatus::Full if self.input.len() == before => return Err("an answer too long"),
                 ReadStatus::Full => {}
--- a/src/net/frontend/connection.rs
+++ b/src/net/frontend/connection.rs
@@ -138,7 +138,7 @@
     fn read_input(&mut self, now: f64) -> Result<ReadStatus, ConnectionClosed> {
         let received_before = self.input.total_received();
         let status = self.input.read_from(&mut self.stream)?;
-        if status == ReadStatus::Completion {
+        if status == ReadStatus::EndOfStream {
             return Err(ConnectionClosed);
         }
         let received = self.input.total_received();
@@ -167,7 +167,7 @@
         context: &mut Context,
     ) -> Result<(), ConnectionClosed> {
         match self.input.read_from(&mut self.stream)? {
-            ReadStatus::Completion => return Err(ConnectionClosed),
+            ReadStatus::EndOfStream => return Err(ConnectionClosed),
             ReadStatus::Full if !self.input.is_empty() => self.schedule_poll(id, now, context),
             ReadStatus::Full | ReadStatus::WouldBlock => {}
         }
