--- /dev/null
+++ b/tests/policy/admission.rs
@@ -0,0 +1,102 @@
+//! Admission control: load shedding, tenant quotas and Retry-After.
+
+use pg_pooler::interface::{Event, Outcome, UpdateKind};
+use pg_pooler::settings::Settings;
+
+use crate::harness::{
+    default_settings, final_answers, primary, rejects_with_retry_after, sent_endpoints, FinishedAttempt,
+    Simulation, BOUNDED_READ, KEYED_WRITE, LOCAL_ZONE, PRIMARY, STRONG_READ,
+};
+
+/// A group that consists of its primary alone.
+fn lone_primary(settings: Settings) -> Simulation {
+    let mut sim = Simulation::new(settings);
+    sim.update_endpoints(UpdateKind::Snapshot, vec![primary(PRIMARY, LOCAL_ZONE)]);
+    sim
+}
+
+/// The primary serves a request of its own after that time.
+fn serve_after(sim: &mut Simulation, id: &str, elapsed: f64) {
+    let served = FinishedAttempt::new(id, PRIMARY, Outcome::Success).elapsed(elapsed);
+    sim.finish_attempt_with(served.primary(true));
+}
+
+#[test]
+fn a_request_that_no_endpoint_can_answer_is_rejected_at_once_with_retry_after() {
+    let mut sim = Simulation::new(default_settings());
+    let unknown_group = 77;
+    let actions = sim.handle(Event::request("x", BOUNDED_READ, unknown_group, 1.0));
+    assert!(rejects_with_retry_after(&actions));
+}
+
+/// Guards against ten attempts of one write within milliseconds at a primary that rejects for overload.
+#[test]
+fn a_write_that_an_overloaded_primary_rejected_is_not_retried_at_once() {
+    let mut sim = Simulation::new(default_settings());
+    sim.request("w", KEYED_WRITE);
+    let actions = sim.finish_attempt("w", PRIMARY, 0, Outcome::Overloaded);
+    assert_eq!((sent_endpoints(&actions).len(), final_answers(&actions)), (0, 1));
+    assert!(rejects_with_retry_after(&actions));
+}
+
+/// Each pooler admits a little whatever the latency, to notice a recovery. In a large fleet these requests
+/// together must not overload an endpoint.
+#[test]
+fn what_is_admitted_despite_overload_shrinks_with_the_size_of_the_fleet() {
+    let admitted = |pooler_count: u32| {
+        let mut sim = lone_primary(Settings { pooler_count, ..default_settings() });
+        // Answers near the deadline: nothing can be expected in time.
+        for i in 0..60 {
+            sim.advance_time(2.5);
+            let id = format!("slow{i}");
+            sim.request(&id, KEYED_WRITE);
+            serve_after(&mut sim, &id, 1.7);
+        }
+        let first_action = sim.actions.len();
+        for i in 0..50 {
+            sim.request(&format!("w{i}"), KEYED_WRITE);
+            sim.advance_time(0.02);
+        }
+        sent_endpoints(&sim.actions[first_action..]).len()
+    };
+    let (small, large) = (admitted(2), admitted(16));
+    assert!(small >= 3 && large <= 2, "{small} with two poolers, {large} with sixteen");
+}
+
+/// Of two classes of the same weight, the one that occupies endpoints for longer is shed first.
+#[test]
+fn under_overload_the_class_with_the_higher_latency_is_shed_first() {
+    let mut sim = lone_primary(Settings { pooler_count: 16, ..default_settings() });
+    let (slow, quick) = (KEYED_WRITE, STRONG_READ);
+    for i in 0..80 {
+        sim.advance_time(2.5);
+        let (class, elapsed) = if i % 2 == 0 { (slow, 0.32) } else { (quick, 0.05) };
+        let id = format!("a{i}");
+        assert_eq!(sent_endpoints(&sim.request(&id, class)), [PRIMARY]);
+        serve_after(&mut sim, &id, elapsed);
+    }
+    assert_eq!(sent_endpoints(&sim.request("slow", slow)).len(), 0);
+    assert_eq!(sent_endpoints(&sim.request("quick", quick)), [PRIMARY]);
+}
+
+/// With a hundred poolers, a tenant's quota at each of them is below one request per second.
+#[test]
+fn a_tenant_within_a_fractional_quota_per_pooler_is_not_over_quota() {
+    let settings = Settings {
+        pooler_count: 100,
+        tenant_quota: vec![40.0],
+        over_quota_weight: 0.0,
+        ..default_settings()
+    };
+    let mut sim = lone_primary(settings);
+    for i in 0..60 {
+        sim.advance_time(2.6);
+        let id = format!("w{i}");
+        assert_eq!(sent_endpoints(&sim.request(&id, KEYED_WRITE)), [PRIMARY], "request {i}");
+        serve_after(&mut sim, &id, 0.235);
+    }
+    sim.request("one", KEYED_WRITE);
+    sim.finish_attempt("one", PRIMARY, 0, Outcome::Overloaded);
+    let over_quota = sim.request("two", KEYED_WRITE);
+    assert_eq!(sent_endpoints(&over_quota).len(), 0, "requests over the quota are shed");
+}
--- /dev/null
+++ b/tests/policy/harness.rs
@@ -0,0 +1,304 @@
+//! Drives one [`Policy`] through events on a simulated clock and records its actions.
+
+use pg_pooler::interface::{
+    Action, AttemptResult, Endpoint, Event, LoadReport, Outcome, Request, UpdateKind,
+};
+use pg_pooler::settings::{Consistency, Idempotency, RequestClass, Settings};
+use pg_pooler::Policy;
+
+/// The primary of the default endpoint list, in the pooler's own zone.
+pub const PRIMARY: &str = "primary";
+/// The replica in the pooler's own zone.
+pub const LOCAL_REPLICA: &str = "local-replica";
+/// The replica in another zone.
+pub const REMOTE_REPLICA: &str = "remote-replica";
+
+/// The zone of the pooler.
+pub const LOCAL_ZONE: u32 = 0;
+/// A zone other than the pooler's own.
+pub const REMOTE_ZONE: u32 = 1;
+
+/// A write that carries an idempotency key; a late answer still earns part of its weight.
+pub const KEYED_WRITE: usize = 0;
+/// A read of data that is at most 0.5 s old.
+pub const BOUNDED_READ: usize = 1;
+/// A read that must see its session's own writes.
+pub const SESSION_READ: usize = 2;
+/// A read that any endpoint may answer.
+pub const EVENTUAL_READ: usize = 3;
+/// A read that must see every earlier commit.
+pub const STRONG_READ: usize = 4;
+/// A write that must not be executed twice.
+pub const NON_IDEMPOTENT_WRITE: usize = 5;
+
+/// The endpoints of actions that send nothing.
+pub const NOWHERE: [&str; 0] = [];
+
+/// Seconds that the client of [`Simulation::request`] waits.
+const CLIENT_TIMEOUT: f64 = 1.8;
+/// Seconds on the simulated clock when a simulation begins.
+const START: f64 = 100.0;
+/// Seed of simulations that do not name one.
+const DEFAULT_SEED: u64 = 1;
+
+fn request_class(consistency: Consistency, idempotency: Idempotency) -> RequestClass {
+    RequestClass {
+        latency_objective: 0.5,
+        deadline: 2.0,
+        deduplication_window: 1.2,
+        idempotency,
+        priority_weight: 1.0,
+        consistency,
+        ..RequestClass::default()
+    }
+}
+
+/// Settings with one class for each of the class constants of this module.
+pub fn default_settings() -> Settings {
+    let keyed_write =
+        RequestClass { late_weight: 0.3, ..request_class(Consistency::Write, Idempotency::IdempotencyKey) };
+    Settings {
+        classes: vec![
+            keyed_write,
+            request_class(Consistency::BoundedStaleness(0.5), Idempotency::Idempotent),
+            request_class(Consistency::Session, Idempotency::Idempotent),
+            request_class(Consistency::Eventual, Idempotency::Idempotent),
+            request_class(Consistency::Strong, Idempotency::Idempotent),
+            request_class(Consistency::Write, Idempotency::NonIdempotent),
+        ],
+        ..Settings::default()
+    }
+}
+
+/// A list entry that names its endpoint as the primary.
+pub fn primary(id: &str, zone: u32) -> Endpoint {
+    Endpoint { primary: true, ..replica(id, zone) }
+}
+
+/// A list entry of a replica.
+pub fn replica(id: &str, zone: u32) -> Endpoint {
+    Endpoint { id: id.into(), zone, primary: false, ..Endpoint::default() }
+}
+
+/// A request of the session "s", whose client waits for one second.
+pub fn session_request(id: &str, class: usize) -> Request {
+    let Event::Request(request) = Event::request(id, class, 0, 1.0) else { unreachable!() };
+    Request { session: Some("s".into()), ..request }
+}
+
+/// Builds the result of an attempt: by default the first one of its request, after 50 ms, with neither a role
+/// nor a log position. A successful attempt is the final answer of its request.
+pub struct FinishedAttempt(AttemptResult);
+
+impl FinishedAttempt {
+    pub fn new(id: &str, endpoint: &str, outcome: Outcome) -> FinishedAttempt {
+        FinishedAttempt(AttemptResult {
+            id: id.into(),
+            endpoint: endpoint.into(),
+            attempt: 0,
+            outcome,
+            request_finished: outcome == Outcome::Success,
+            elapsed: 0.05,
+            log_position: None,
+            primary: None,
+            report: LoadReport::default(),
+        })
+    }
+
+    /// Sets the number of the attempt among those of its request, from 0.
+    pub fn number(mut self, attempt: usize) -> FinishedAttempt {
+        self.0.attempt = attempt;
+        self
+    }
+
+    /// Sets the role that the endpoint gave in its answer: true for a primary.
+    pub fn primary(mut self, primary: bool) -> FinishedAttempt {
+        self.0.primary = Some(primary);
+        self
+    }
+
+    /// Sets the log position that came with the answer.
+    pub fn log_position(mut self, log_position: impl Into<Option<f64>>) -> FinishedAttempt {
+        self.0.log_position = log_position.into();
+        self
+    }
+
+    /// Sets the time that the attempt took.
+    pub fn elapsed(mut self, elapsed: f64) -> FinishedAttempt {
+        self.0.elapsed = elapsed;
+        self
+    }
+
+    /// Makes the result the final answer of its request, whatever the outcome.
+    pub fn request_finished(mut self) -> FinishedAttempt {
+        self.0.request_finished = true;
+        self
+    }
+}
+
+/// One policy on a simulated clock, with everything that it did.
+pub struct Simulation {
+    pub policy: Policy,
+    /// The simulated clock, in seconds.
+    pub now: f64,
+    /// All actions so far.
+    pub actions: Vec<Action>,
+    /// When each pending timer expires, and its cookie.
+    timers: Vec<(f64, u64)>,
+}
+
+impl Simulation {
+    /// A group of a primary and a replica in the pooler's zone and a replica in another zone.
+    pub fn new(settings: Settings) -> Simulation {
+        let endpoints = vec![
+            primary(PRIMARY, LOCAL_ZONE),
+            replica(LOCAL_REPLICA, LOCAL_ZONE),
+            replica(REMOTE_REPLICA, REMOTE_ZONE),
+        ];
+        Simulation::with_endpoints(settings, DEFAULT_SEED, |_| endpoints)
+    }
+
+    /// A policy with the given seed that starts from a cached list, which may depend on the time of the
+    /// start.
+    pub fn with_endpoints(
+        settings: Settings,
+        seed: u64,
+        endpoints: impl FnOnce(f64) -> Vec<Endpoint>,
+    ) -> Simulation {
+        let mut simulation = Simulation {
+            policy: Policy::new(settings, seed).unwrap(),
+            now: START,
+            actions: Vec::new(),
+            timers: Vec::new(),
+        };
+        simulation.update_endpoints(UpdateKind::Cached, endpoints(START));
+        simulation
+    }
+
+    /// Passes one event to the policy at the present time and returns its actions.
+    pub fn handle(&mut self, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.policy.handle(self.now, event, &mut actions);
+        for action in &actions {
+            if let Action::SetTimer { at, cookie } = action {
+                self.timers.push((*at, *cookie));
+            }
+        }
+        self.actions.extend(actions.iter().cloned());
+        actions
+    }
+
+    /// Delivers an update of the endpoint list.
+    pub fn update_endpoints(&mut self, kind: UpdateKind, endpoints: Vec<Endpoint>) -> Vec<Action> {
+        self.handle(Event::Endpoints { kind, endpoints })
+    }
+
+    /// Advances the clock, delivers the timers that expire meanwhile and returns the actions that follow.
+    pub fn advance_time(&mut self, seconds: f64) -> Vec<Action> {
+        let end = self.now + seconds;
+        let first_action = self.actions.len();
+        while let Some((at, cookie)) = self.take_timer_until(end) {
+            self.now = self.now.max(at);
+            self.handle(Event::Timer { cookie });
+        }
+        self.now = end;
+        self.actions[first_action..].to_vec()
+    }
+
+    /// Removes the earliest timer if it expires by then.
+    fn take_timer_until(&mut self, end: f64) -> Option<(f64, u64)> {
+        let expiries = self.timers.iter().map(|(at, _)| at).enumerate();
+        let (earliest, at) = expiries.min_by(|a, b| a.1.total_cmp(b.1))?;
+        (*at <= end).then(|| self.timers.swap_remove(earliest))
+    }
+
+    /// Receives a request from a client.
+    pub fn request(&mut self, id: &str, class: usize) -> Vec<Action> {
+        self.handle(Event::request(id, class, 0, CLIENT_TIMEOUT))
+    }
+
+    /// Receives a request and returns the one endpoint that it was sent to.
+    pub fn route(&mut self, id: &str, class: usize) -> String {
+        let actions = self.request(id, class);
+        let endpoints = sent_endpoints(&actions);
+        assert_eq!(endpoints.len(), 1, "{id} was sent to {endpoints:?}");
+        endpoints[0].to_string()
+    }
+
+    /// Receives `count` requests and returns the endpoints that they were sent to.
+    pub fn request_many(&mut self, id_prefix: &str, count: usize, class: usize) -> Vec<String> {
+        let first_action = self.actions.len();
+        for index in 0..count {
+            self.request(&format!("{id_prefix}{index}"), class);
+        }
+        sent_endpoints(&self.actions[first_action..]).into_iter().map(String::from).collect()
+    }
+
+    /// Ends an attempt after 50 ms; the answer tells neither a role nor a log position.
+    pub fn finish_attempt(
+        &mut self,
+        id: &str,
+        endpoint: &str,
+        number: usize,
+        outcome: Outcome,
+    ) -> Vec<Action> {
+        self.finish_attempt_with(FinishedAttempt::new(id, endpoint, outcome).number(number))
+    }
+
+    /// Ends an attempt with the given result.
+    pub fn finish_attempt_with(&mut self, attempt: FinishedAttempt) -> Vec<Action> {
+        self.handle(Event::AttemptFinished(attempt.0))
+    }
+
+    /// Ends a health check whose report is empty.
+    pub fn finish_health_check(&mut self, endpoint: &str, outcome: Outcome) -> Vec<Action> {
+        let report = LoadReport::default();
+        self.handle(Event::HealthChecked { endpoint: endpoint.into(), outcome, report })
+    }
+
+    /// A replica reports the log position that it has applied.
+    pub fn report_position(&mut self, endpoint: &str, log_position: f64) {
+        let report = LoadReport { log_position: Some(log_position), primary: Some(false) };
+        self.handle(Event::HealthChecked { endpoint: endpoint.into(), outcome: Outcome::Success, report });
+    }
+
+    /// A replica reports that it has applied everything up to now.
+    pub fn report_fresh(&mut self, endpoint: &str) {
+        self.report_position(endpoint, self.now);
+    }
+
+    /// The client of a request disconnects.
+    pub fn disconnect_client(&mut self, id: &str) -> Vec<Action> {
+        self.handle(Event::ClientDisconnected { id: id.into() })
+    }
+}
+
+/// The endpoints that requests were sent to, in order.
+pub fn sent_endpoints(actions: &[Action]) -> Vec<&str> {
+    let endpoints = actions.iter().filter_map(|action| match action {
+        Action::Send { endpoint, .. } => Some(endpoint.as_ref()),
+        _ => None,
+    });
+    endpoints.collect()
+}
+
+/// The endpoint that a request was sent to first, if any.
+pub fn first_endpoint(actions: &[Action]) -> Option<String> {
+    sent_endpoints(actions).first().map(ToString::to_string)
+}
+
+/// How many requests got a final answer from the policy itself: a rejection or a failure.
+pub fn final_answers(actions: &[Action]) -> usize {
+    let is_final = |action: &&Action| matches!(action, Action::Reject { .. } | Action::Fail { .. });
+    actions.iter().filter(is_final).count()
+}
+
+/// How many health checks were started.
+pub fn health_checks(actions: &[Action]) -> usize {
+    actions.iter().filter(|action| matches!(action, Action::HealthCheck { .. })).count()
+}
+
+/// Whether some request was rejected with advice on when to retry.
+pub fn rejects_with_retry_after(actions: &[Action]) -> bool {
+    actions.iter().any(|action| matches!(action, Action::Reject { retry_after, .. } if *retry_after > 0.0))
+}
--- /dev/null
+++ b/tests/policy/outlier_detection.rs
@@ -0,0 +1,159 @@
+//! Failure scores, the ejection of outliers, trial requests and reinstatement.
+
+use pg_pooler::interface::{Action, Outcome};
+use pg_pooler::settings::Settings;
+
+use crate::harness::{
+    default_settings, first_endpoint, sent_endpoints, FinishedAttempt, Simulation, EVENTUAL_READ,
+    KEYED_WRITE, LOCAL_REPLICA, NOWHERE, PRIMARY, REMOTE_REPLICA,
+};
+
+#[test]
+fn an_unreachable_endpoint_is_ejected_and_later_gets_a_single_trial_request() {
+    let mut sim = Simulation::new(default_settings());
+    sim.report_fresh(LOCAL_REPLICA);
+    sim.report_fresh(REMOTE_REPLICA);
+    sim.request("a", EVENTUAL_READ);
+    sim.finish_attempt("a", LOCAL_REPLICA, 0, Outcome::ConnectFailed);
+    assert_ne!(sent_endpoints(&sim.request("b", EVENTUAL_READ)), [LOCAL_REPLICA]);
+    sim.advance_time(20.0);
+    let endpoints = sim.request_many("c", 2, EVENTUAL_READ);
+    let trials = endpoints.iter().filter(|endpoint| *endpoint == LOCAL_REPLICA).count();
+    assert_eq!(trials, 1, "{endpoints:?}");
+}
+
+/// Guards against ejecting the primary for rejecting malformed requests, such as a write whose statement
+/// reads.
+#[test]
+fn a_request_that_every_endpoint_would_reject_ejects_none() {
+    let mut sim = Simulation::new(default_settings());
+    for i in 0..5 {
+        let id = format!("bad{i}");
+        assert_eq!(sent_endpoints(&sim.request(&id, KEYED_WRITE)), [PRIMARY]);
+        let rejected = FinishedAttempt::new(&id, PRIMARY, Outcome::InvalidRequest).elapsed(0.001);
+        sim.finish_attempt_with(rejected.request_finished());
+    }
+    assert_eq!(sent_endpoints(&sim.request("good", KEYED_WRITE)), [PRIMARY]);
+}
+
+#[test]
+fn a_group_whose_endpoints_all_failed_is_still_tried() {
+    let mut sim = Simulation::new(default_settings());
+    for (i, endpoint) in [LOCAL_REPLICA, REMOTE_REPLICA, PRIMARY].iter().enumerate() {
+        sim.report_fresh(endpoint);
+        let id = format!("a{i}");
+        let target = sim.route(&id, EVENTUAL_READ);
+        sim.finish_attempt(&id, &target, 0, Outcome::ConnectFailed);
+    }
+    let first_action = sim.actions.len();
+    sim.request("last", EVENTUAL_READ);
+    sim.advance_time(0.35);
+    let sends = sent_endpoints(&sim.actions[first_action..]).len();
+    assert!((1..=3).contains(&sends), "each endpoint is soon tried again, one request at a time: {sends}");
+}
+
+/// A connection that breaks says nothing of a restart. Were each broken one the start of a slow start, a
+/// fault of the network would leave the whole group without capacity.
+#[test]
+fn broken_connections_do_not_put_an_endpoint_into_slow_start() {
+    let mut sim = Simulation::new(default_settings());
+    sim.report_fresh(LOCAL_REPLICA);
+    for i in 0..3 {
+        let id = format!("a{i}");
+        if let Some(endpoint) = first_endpoint(&sim.request(&id, EVENTUAL_READ)) {
+            sim.finish_attempt(&id, &endpoint, 0, Outcome::ConnectionReset);
+        }
+    }
+    sim.advance_time(4.0);
+    sim.request("trial", EVENTUAL_READ);
+    sim.finish_attempt("trial", LOCAL_REPLICA, 0, Outcome::Success);
+    for i in 0..3 {
+        assert_eq!(sim.route(&format!("b{i}"), EVENTUAL_READ), LOCAL_REPLICA);
+    }
+}
+
+/// Guards against endpoints that hang: with many poolers, each has only a few requests in flight there.
+#[test]
+fn a_single_overdue_request_ejects_a_replica_that_answers_nothing_else() {
+    let mut sim = Simulation::new(default_settings());
+    sim.report_fresh(LOCAL_REPLICA);
+    for i in 0..40 {
+        let id = format!("a{i}");
+        let endpoint = sim.route(&id, EVENTUAL_READ);
+        sim.advance_time(0.05);
+        sim.finish_attempt(&id, &endpoint, 0, Outcome::Success);
+    }
+    sim.advance_time(0.01);
+    assert_eq!(sent_endpoints(&sim.request("hangs", EVENTUAL_READ)), [LOCAL_REPLICA]);
+    sim.advance_time(0.3);
+    assert_ne!(sent_endpoints(&sim.request("next", EVENTUAL_READ)), [LOCAL_REPLICA]);
+}
+
+/// A primary that has answered forty writes.
+fn simulation_with_proven_primary() -> Simulation {
+    let mut sim = Simulation::new(default_settings());
+    for i in 0..40 {
+        let id = format!("w{i}");
+        sim.request(&id, KEYED_WRITE);
+        sim.advance_time(0.05);
+        sim.finish_attempt_with(FinishedAttempt::new(&id, PRIMARY, Outcome::Success).primary(true));
+    }
+    sim.advance_time(0.01);
+    sim
+}
+
+/// No other endpoint can take the writes of a primary. One connection that is silent, or could not be
+/// established, does not eject it; the second one does.
+#[test]
+fn a_primary_is_ejected_only_at_the_second_silent_connection() {
+    let mut sim = simulation_with_proven_primary();
+    for (id, endpoints) in [("1", vec![PRIMARY]), ("2", vec![PRIMARY]), ("3", vec![])] {
+        assert_eq!(sent_endpoints(&sim.request(id, KEYED_WRITE)), endpoints, "{id}");
+        sim.advance_time(0.25);
+    }
+
+    let mut sim = simulation_with_proven_primary();
+    sim.request("1", KEYED_WRITE);
+    for (attempt, endpoints) in [(0, vec![PRIMARY]), (1, vec![])] {
+        sim.now += 0.25;
+        let failed = FinishedAttempt::new("1", PRIMARY, Outcome::ConnectFailed).number(attempt).elapsed(0.25);
+        assert_eq!(sent_endpoints(&sim.finish_attempt_with(failed)), endpoints, "{attempt}");
+    }
+}
+
+/// Single connections break as well, through faults of the network. An endpoint that goes on answering keeps
+/// its requests; one that stops answering does not.
+#[test]
+fn broken_connections_eject_only_an_endpoint_that_stops_answering() {
+    for (fault, tolerated) in [(Outcome::ConnectionReset, 3), (Outcome::ConnectFailed, 1)] {
+        let mut sim = Simulation::new(default_settings());
+        sim.request("w", KEYED_WRITE);
+        sim.finish_attempt_with(FinishedAttempt::new("w", PRIMARY, Outcome::Success).primary(true));
+        for i in 0..=tolerated {
+            let id = format!("{i}");
+            assert_eq!(sent_endpoints(&sim.request(&id, KEYED_WRITE)), [PRIMARY], "{fault:?} {id}");
+            sim.disconnect_client(&id);
+            sim.finish_attempt(&id, PRIMARY, 0, fault);
+        }
+        assert_eq!(sent_endpoints(&sim.request("queued", KEYED_WRITE)), NOWHERE, "{fault:?}");
+    }
+}
+
+/// Of many poolers, each with a few idle connections, an endpoint's connection table can fill up, so that it
+/// refuses all new ones. Poolers of a large fleet therefore close theirs when one is refused.
+#[test]
+fn poolers_of_a_large_fleet_close_idle_connections_after_a_refused_one() {
+    let closes_idle_connections = |pooler_count: u32| {
+        let settings = Settings { pooler_count, ..default_settings() };
+        let mut sim = Simulation::new(settings);
+        sim.report_fresh(LOCAL_REPLICA);
+        sim.report_fresh(REMOTE_REPLICA);
+        sim.request("a", EVENTUAL_READ);
+        let retried = sim.finish_attempt("a", LOCAL_REPLICA, 0, Outcome::ConnectFailed);
+        assert_eq!(sent_endpoints(&retried), [REMOTE_REPLICA]);
+        sim.finish_attempt("a", REMOTE_REPLICA, 1, Outcome::Success)
+            .contains(&Action::CloseIdleConnections { endpoint: REMOTE_REPLICA.into() })
+    };
+    assert!(closes_idle_connections(1000));
+    assert!(!closes_idle_connections(20), "a small fleet keeps them: a new connection can be slow");
+}
--- /dev/null
+++ b/tests/policy/read_routing.rs
@@ -0,0 +1,201 @@
+//! Where reads go: zones, how fresh the data must be, and long reads that hold up a replica's log.
+
+use pg_pooler::interface::{Outcome, UpdateKind};
+use pg_pooler::settings::{Settings, StaleReadHandling};
+
+use crate::harness::{
+    default_settings, final_answers, first_endpoint, replica, sent_endpoints, FinishedAttempt, Simulation,
+    BOUNDED_READ, EVENTUAL_READ, KEYED_WRITE, LOCAL_REPLICA, LOCAL_ZONE, PRIMARY, REMOTE_REPLICA,
+    REMOTE_ZONE, STRONG_READ,
+};
+
+/// A second replica in the pooler's zone.
+const SECOND_LOCAL_REPLICA: &str = "second-local-replica";
+/// A remote replica that lags by a second in the tests of long reads.
+const LAGGING_REPLICA: &str = "lagging-replica";
+/// A remote replica that is up to date in the tests of long reads.
+const FRESH_REPLICA: &str = "fresh-replica";
+
+/// Settings under which endpoints serve reads however old their data is.
+fn stale_reads_served() -> Settings {
+    Settings { stale_reads: StaleReadHandling::Serve, ..default_settings() }
+}
+
+#[test]
+fn writes_and_strong_reads_go_to_the_primary_and_other_reads_to_the_local_replica() {
+    let mut sim = Simulation::new(default_settings());
+    sim.report_fresh(LOCAL_REPLICA);
+    sim.report_fresh(REMOTE_REPLICA);
+    assert_eq!(sent_endpoints(&sim.request("w", KEYED_WRITE)), [PRIMARY]);
+    assert_eq!(sent_endpoints(&sim.request("f", STRONG_READ)), [PRIMARY]);
+    let bounded = sim.request("b", BOUNDED_READ);
+    assert_eq!(sent_endpoints(&bounded), [LOCAL_REPLICA], "in the zone and off the primary");
+    assert_eq!(sent_endpoints(&sim.request("a", EVENTUAL_READ)), [LOCAL_REPLICA]);
+}
+
+#[test]
+fn a_read_leaves_its_zone_only_for_less_than_half_the_load_and_three_requests_fewer() {
+    let mut sim = Simulation::new(default_settings());
+    sim.report_fresh(LOCAL_REPLICA);
+    sim.report_fresh(REMOTE_REPLICA);
+    let endpoints = sim.request_many("a", 4, EVENTUAL_READ);
+    assert_eq!(endpoints, [LOCAL_REPLICA, LOCAL_REPLICA, LOCAL_REPLICA, REMOTE_REPLICA]);
+}
+
+#[test]
+fn a_replica_that_is_too_stale_gets_no_bounded_reads() {
+    let mut sim = Simulation::new(stale_reads_served());
+    sim.report_fresh(LOCAL_REPLICA);
+    sim.now += 0.6;
+    sim.report_fresh(REMOTE_REPLICA);
+    assert_eq!(sent_endpoints(&sim.request("b", BOUNDED_READ)), [REMOTE_REPLICA]);
+    sim.now += 0.6;
+    let too_late = sim.request("c", BOUNDED_READ);
+    assert_eq!(
+        sent_endpoints(&too_late),
+        [PRIMARY],
+        "an endpoint that serves stale reads must be known fresh"
+    );
+}
+
+#[test]
+fn a_log_position_in_the_future_is_ignored() {
+    let mut sim = Simulation::new(stale_reads_served());
+    sim.report_position(LOCAL_REPLICA, sim.now + 50.0);
+    assert_eq!(sent_endpoints(&sim.request("b", BOUNDED_READ)), [PRIMARY]);
+}
+
+#[test]
+fn where_stale_reads_are_rejected_a_replica_of_unknown_position_is_tried_once() {
+    let mut sim = Simulation::new(default_settings());
+    assert_eq!(sent_endpoints(&sim.request("b", BOUNDED_READ)), [LOCAL_REPLICA]);
+    let rejected = FinishedAttempt::new("b", LOCAL_REPLICA, Outcome::Ineligible).primary(false);
+    let retried = sim.finish_attempt_with(rejected.log_position(sim.now - 3.0));
+    assert_ne!(sent_endpoints(&retried), [LOCAL_REPLICA]);
+    assert_ne!(sent_endpoints(&sim.request("c", BOUNDED_READ)), [LOCAL_REPLICA], "it is left to catch up");
+}
+
+#[test]
+fn an_eventual_read_goes_to_the_local_replica_that_lags() {
+    let mut sim = Simulation::new(default_settings());
+    sim.update_endpoints(UpdateKind::Delta, vec![replica(SECOND_LOCAL_REPLICA, LOCAL_ZONE)]);
+    sim.report_fresh(SECOND_LOCAL_REPLICA);
+    sim.now += 2.0;
+    sim.report_fresh(LOCAL_REPLICA);
+    for i in 0..4 {
+        let id = format!("a{i}");
+        assert_eq!(sent_endpoints(&sim.request(&id, EVENTUAL_READ)), [SECOND_LOCAL_REPLICA]);
+        sim.finish_attempt(&id, SECOND_LOCAL_REPLICA, 0, Outcome::Success);
+    }
+}
+
+/// Without a primary all log positions stand still. Trying every replica in turn would only add load.
+#[test]
+fn replicas_known_to_lag_are_not_tried_in_turn() {
+    let mut sim = Simulation::new(default_settings());
+    sim.report_fresh(LOCAL_REPLICA);
+    sim.report_fresh(REMOTE_REPLICA);
+    sim.request("w", KEYED_WRITE);
+    sim.finish_attempt("w", PRIMARY, 0, Outcome::ConnectFailed);
+    sim.now += 3.0;
+    let first_action = sim.actions.len();
+    for i in 0..5 {
+        let id = format!("b{i}");
+        let mut target = first_endpoint(&sim.request(&id, BOUNDED_READ));
+        let mut attempt = 0;
+        while let Some(endpoint) = target {
+            let rejected = FinishedAttempt::new(&id, &endpoint, Outcome::Ineligible).number(attempt);
+            let rejected = rejected.primary(false).log_position(sim.now - 3.0);
+            target = first_endpoint(&sim.finish_attempt_with(rejected));
+            attempt += 1;
+        }
+    }
+    let sends = sent_endpoints(&sim.actions[first_action..]).len();
+    assert!(sends <= 4, "{sends} attempts for five reads that no endpoint can answer");
+}
+
+/// Work that an endpoint rejects for overload ends at once, which makes the endpoint look idle.
+#[test]
+fn an_endpoint_that_rejects_for_overload_counts_as_loaded() {
+    let mut sim = Simulation::new(default_settings());
+    sim.update_endpoints(UpdateKind::Delta, vec![replica(SECOND_LOCAL_REPLICA, LOCAL_ZONE)]);
+    sim.report_fresh(LOCAL_REPLICA);
+    sim.report_fresh(SECOND_LOCAL_REPLICA);
+    let mut sent_to_overloaded = 0;
+    for i in 0..20 {
+        let id = format!("b{i}");
+        let endpoint = sim.route(&id, BOUNDED_READ);
+        if endpoint == LOCAL_REPLICA {
+            sent_to_overloaded += 1;
+            let retried = sim.finish_attempt(&id, LOCAL_REPLICA, 0, Outcome::Overloaded);
+            let next = sent_endpoints(&retried).join("");
+            sim.finish_attempt(&id, &next, 1, Outcome::Success);
+        } else {
+            sim.finish_attempt(&id, &endpoint, 0, Outcome::Success);
+        }
+    }
+    assert!(sent_to_overloaded <= 3, "{sent_to_overloaded} of 20 went to the overloaded endpoint");
+}
+
+/// Answers eventual reads after 3 s each, wherever they go: longer than the bound of the bounded reads. The
+/// policy expects such a latency of the class from then on.
+fn learn_long_reads(sim: &mut Simulation) {
+    for i in 0..40 {
+        sim.advance_time(0.1);
+        sim.report_fresh(LOCAL_REPLICA);
+        let id = format!("a{i}");
+        let endpoint = sim.route(&id, EVENTUAL_READ);
+        sim.finish_attempt_with(FinishedAttempt::new(&id, &endpoint, Outcome::Success).elapsed(3.0));
+    }
+}
+
+/// Long reads are known, and of three remote replicas one never reported, one lags and one is fresh.
+fn simulation_with_long_reads(settings: Settings) -> Simulation {
+    let mut sim = Simulation::new(settings);
+    let replicas = vec![replica(LAGGING_REPLICA, REMOTE_ZONE), replica(FRESH_REPLICA, REMOTE_ZONE)];
+    sim.update_endpoints(UpdateKind::Delta, replicas);
+    sim.report_fresh(LAGGING_REPLICA);
+    sim.advance_time(1.0);
+    sim.report_fresh(FRESH_REPLICA);
+    learn_long_reads(&mut sim);
+    sim
+}
+
+/// Long reads hold up the log of their replica. Spread over all replicas, they would leave few of them fresh.
+#[test]
+fn long_eventual_reads_gather_on_the_replica_that_lags_most() {
+    let mut sim = Simulation::new(default_settings());
+    sim.report_fresh(LOCAL_REPLICA);
+    learn_long_reads(&mut sim);
+    let endpoints = sim.request("last", EVENTUAL_READ);
+    assert_eq!(
+        sent_endpoints(&endpoints),
+        [REMOTE_REPLICA],
+        "the local replica is fresh, the remote one lags"
+    );
+}
+
+/// Overflow must not go to the least loaded replica: that one is idle because it is catching up, and another
+/// long read would hold up its log as well, so that no replica caught up.
+#[test]
+fn long_eventual_reads_overflow_to_the_replica_that_lags_next_most() {
+    let mut sim = simulation_with_long_reads(default_settings());
+    let expected =
+        [REMOTE_REPLICA, REMOTE_REPLICA, REMOTE_REPLICA, LAGGING_REPLICA, REMOTE_REPLICA, LAGGING_REPLICA];
+    for (i, endpoint) in expected.into_iter().enumerate() {
+        assert_eq!(sim.route(&format!("b{i}"), EVENTUAL_READ), endpoint, "read {i}");
+    }
+}
+
+/// Guards against rejecting a long read because the replica that lags most cannot answer in time while the
+/// next one can. Only one more is considered, or long reads would hold up the log of every replica.
+#[test]
+fn a_long_eventual_read_considers_one_more_replica_that_can_answer_in_time() {
+    let mut sim = simulation_with_long_reads(Settings { pooler_count: 8, ..default_settings() });
+    assert_eq!(sent_endpoints(&sim.request("b0", EVENTUAL_READ)), [REMOTE_REPLICA]);
+    assert_eq!(sent_endpoints(&sim.request("b1", EVENTUAL_READ)), [LAGGING_REPLICA]);
+    let third = sim.request("b2", EVENTUAL_READ);
+    assert_eq!(sent_endpoints(&third), [PRIMARY], "the primary has no log to apply");
+    let fourth = sim.request("b3", EVENTUAL_READ);
+    assert_eq!(final_answers(&fourth), 1, "the fresh replica is left to the reads that need it");
+}
--- /dev/null
+++ b/tests/policy/retries.rs
@@ -0,0 +1,235 @@
+//! Attempts of a request: deadlines, retries and their budget, idempotency keys and hedged requests.
+
+use pg_pooler::interface::{Action, Event, Outcome, UpdateKind};
+use pg_pooler::settings::Settings;
+use rstest::rstest;
+
+use crate::harness::{
+    default_settings, final_answers, first_endpoint, primary, replica, sent_endpoints, FinishedAttempt,
+    Simulation, BOUNDED_READ, EVENTUAL_READ, KEYED_WRITE, LOCAL_REPLICA, LOCAL_ZONE, NON_IDEMPOTENT_WRITE,
+    NOWHERE, PRIMARY, REMOTE_REPLICA, REMOTE_ZONE, SESSION_READ, STRONG_READ,
+};
+
+fn succeed(sim: &mut Simulation, id: &str) {
+    sim.finish_attempt_with(FinishedAttempt::new(id, PRIMARY, Outcome::Success).primary(true));
+}
+
+#[test]
+fn a_request_ends_at_the_deadline_of_its_class() {
+    let mut sim = Simulation::new(default_settings());
+    let actions = sim.handle(Event::request("w", KEYED_WRITE, 0, 1e9));
+    assert!(matches!(actions[..], [.., Action::Send { timeout, .. }] if timeout <= 2.0), "{actions:?}");
+    assert_eq!(final_answers(&sim.advance_time(2.0)), 1);
+}
+
+#[test]
+fn every_request_gets_exactly_one_final_answer_within_its_deadline() {
+    let mut sim = Simulation::new(default_settings());
+    let classes = [KEYED_WRITE, BOUNDED_READ, SESSION_READ, EVENTUAL_READ, STRONG_READ, NON_IDEMPOTENT_WRITE];
+    for (i, class) in classes.into_iter().enumerate() {
+        sim.request(&format!("q{i}"), class);
+    }
+    sim.advance_time(1.8);
+    assert_eq!(final_answers(&sim.actions), 6);
+    sim.advance_time(5.0);
+    assert_eq!(final_answers(&sim.actions), 6);
+}
+
+/// Guards against keeping a request that no endpoint has received until its client has no time left to retry.
+#[test]
+fn a_request_that_reached_no_endpoint_is_rejected_after_half_its_time() {
+    let mut sim = Simulation::new(default_settings());
+    // Connections to the primary fail: a write waits for another primary.
+    for id in ["x", "y"] {
+        sim.request(id, KEYED_WRITE);
+        sim.finish_attempt(id, PRIMARY, 0, Outcome::ConnectFailed);
+    }
+    assert_eq!(sent_endpoints(&sim.request("w", KEYED_WRITE)), NOWHERE);
+    assert_eq!(final_answers(&sim.advance_time(0.85)), 0, "half of 1.8 s is not over");
+    let actions = sim.advance_time(0.1);
+    let is_rejection = |action: &Action| match action {
+        Action::Reject { id, retry_after } => &**id == "w" && *retry_after > 0.0,
+        _ => false,
+    };
+    assert!(actions.iter().any(is_rejection), "{actions:?}");
+}
+
+/// Guards against the opposite: giving up early on what an endpoint has received.
+#[test]
+fn a_request_that_reached_an_endpoint_keeps_all_its_time() {
+    let mut sim = Simulation::new(default_settings());
+    sim.request("w", KEYED_WRITE);
+    assert_eq!(final_answers(&sim.advance_time(1.7)), 0);
+    assert_eq!(final_answers(&sim.advance_time(0.1)), 1);
+}
+
+#[test]
+fn nothing_is_sent_after_the_client_has_disconnected() {
+    let mut sim = Simulation::new(default_settings());
+    sim.request("b", BOUNDED_READ);
+    sim.disconnect_client("b");
+    let actions = sim.finish_attempt("b", LOCAL_REPLICA, 0, Outcome::Ineligible);
+    assert_eq!(sent_endpoints(&actions).len(), 0);
+}
+
+#[test]
+fn retries_do_not_amplify_load() {
+    let mut sim = Simulation::new(default_settings());
+    sim.report_fresh(LOCAL_REPLICA);
+    sim.report_fresh(REMOTE_REPLICA);
+    let mut sends = 0;
+    for i in 0..300 {
+        let id = format!("a{i}");
+        let mut target = first_endpoint(&sim.request(&id, EVENTUAL_READ));
+        let mut attempt = 0;
+        while let Some(endpoint) = target {
+            sends += 1;
+            target = first_endpoint(&sim.finish_attempt(&id, &endpoint, attempt, Outcome::Error));
+            attempt += 1;
+        }
+    }
+    assert!(sends < 300 * 3 / 2, "{sends}");
+}
+
+#[test]
+fn a_non_idempotent_write_that_may_have_been_executed_fails_without_a_retry() {
+    let mut sim = Simulation::new(default_settings());
+    sim.request("u", NON_IDEMPOTENT_WRITE);
+    let actions = sim.finish_attempt("u", PRIMARY, 0, Outcome::Error);
+    let first = actions.iter().find(|action| !matches!(action, Action::SetTimer { .. }));
+    assert_eq!(first, Some(&Action::Fail { id: "u".into() }));
+}
+
+#[test]
+fn a_keyed_write_is_retried_only_well_inside_its_deduplication_window() {
+    let mut sim = Simulation::new(default_settings());
+    sim.request("w", KEYED_WRITE);
+    sim.now += 0.2;
+    assert_eq!(sent_endpoints(&sim.finish_attempt("w", PRIMARY, 0, Outcome::Error)), [PRIMARY]);
+
+    let mut sim = Simulation::new(default_settings());
+    sim.request("w", KEYED_WRITE);
+    sim.now += 1.0;
+    let actions = sim.finish_attempt("w", PRIMARY, 0, Outcome::Error);
+    let sends = sent_endpoints(&actions).len();
+    assert_eq!((sends, final_answers(&actions)), (0, 1), "time to connect is kept in reserve");
+    assert!(actions.contains(&Action::Fail { id: "w".into() }));
+}
+
+/// Sends a write that gets no answer, and twenty later ones. Returns the simulation, and whether the attempt
+/// of the first was cancelled.
+fn lose_one_write(later_writes_succeed: bool) -> (Simulation, bool) {
+    let mut sim = Simulation::new(default_settings());
+    sim.request("lost", KEYED_WRITE);
+    for i in 0..20 {
+        sim.advance_time(0.03);
+        if later_writes_succeed {
+            let id = format!("w{i}");
+            sim.request(&id, KEYED_WRITE);
+            sim.advance_time(0.01);
+            succeed(&mut sim, &id);
+        }
+    }
+    let cancelled = sim.actions.contains(&Action::CancelAttempt { id: "lost".into(), attempt: 0 });
+    (sim, cancelled)
+}
+
+/// A primary served all writes but one in eight, which its poolers waited for until the clients gave up.
+#[test]
+fn a_keyed_write_is_retried_once_the_primary_has_answered_many_later_ones() {
+    let (mut sim, cancelled) = lose_one_write(true);
+    assert!(cancelled);
+    let retried = sim.finish_attempt("lost", PRIMARY, 0, Outcome::Cancelled);
+    assert_eq!(sent_endpoints(&retried), [PRIMARY], "inside its deduplication window");
+    let (_, cancelled) = lose_one_write(false);
+    assert!(!cancelled, "a primary that answers nothing may be slow: its writes are not repeated");
+}
+
+/// A write to a primary that answers twenty later ones but not this one. After `failover_after` seconds the
+/// remote replica is promoted, and half a second passes.
+fn lose_write_at_failover(settings: Settings, failover_after: f64) -> Simulation {
+    let mut sim = Simulation::new(settings);
+    sim.request("lost", KEYED_WRITE);
+    for i in 0..20 {
+        sim.advance_time(failover_after / 20.0 * 0.75);
+        let id = format!("w{i}");
+        sim.request(&id, KEYED_WRITE);
+        sim.advance_time(failover_after / 20.0 * 0.25);
+        succeed(&mut sim, &id);
+    }
+    let entries = vec![primary(REMOTE_REPLICA, REMOTE_ZONE), replica(PRIMARY, LOCAL_ZONE)];
+    sim.update_endpoints(UpdateKind::Delta, entries);
+    for (endpoint, is_primary) in [(REMOTE_REPLICA, true), (PRIMARY, false)] {
+        let claim = FinishedAttempt::new("none", endpoint, Outcome::Success).primary(is_primary);
+        sim.finish_attempt_with(claim);
+    }
+    sim.advance_time(0.5);
+    sim
+}
+
+/// Where a request was sent and with which timeout, for each attempt.
+fn attempts_of(sim: &Simulation, request: &str) -> Vec<(String, f64)> {
+    let attempt = |action: &Action| match action {
+        Action::Send { id, endpoint, timeout } if &**id == request => Some((endpoint.to_string(), *timeout)),
+        _ => None,
+    };
+    sim.actions.iter().filter_map(attempt).collect()
+}
+
+/// Settings that allow hedged requests, with that deduplication window for keyed writes.
+fn hedging_settings(deduplication_window: f64) -> Settings {
+    let mut settings = Settings { hedging: true, ..default_settings() };
+    settings.classes[KEYED_WRITE].deduplication_window = deduplication_window;
+    settings
+}
+
+/// Guards against a hedged write that reaches a promoted replica after its deduplication window: it would be
+/// executed a second time.
+#[rstest]
+#[case::long_closed(0.5, 1)]
+#[case::closed_but_for_the_connect_timeout(1.0, 1)]
+#[case::open(2.0, 2)]
+fn a_keyed_write_is_hedged_only_inside_its_deduplication_window(
+    #[case] window: f64,
+    #[case] attempts: usize,
+) {
+    let sim = lose_write_at_failover(hedging_settings(window), 0.8);
+    assert_eq!(attempts_of(&sim, "lost").len(), attempts, "{:?}", attempts_of(&sim, "lost"));
+}
+
+#[test]
+fn a_hedged_write_times_out_before_its_deduplication_window_closes() {
+    let sim = lose_write_at_failover(hedging_settings(1.3), 0.8);
+    let attempts = attempts_of(&sim, "lost");
+    assert_eq!(attempts[1].0, REMOTE_REPLICA, "only the primary takes writes");
+    assert!(attempts[1].1 <= 0.5, "{attempts:?}");
+}
+
+#[test]
+fn hedged_requests_count_towards_the_limit_of_attempts() {
+    let sim = lose_write_at_failover(Settings { max_attempts: 1, ..hedging_settings(2.0) }, 0.8);
+    assert_eq!(attempts_of(&sim, "lost").len(), 1);
+}
+
+/// Guards against counting the window from the attempt that ended first: with two in flight that need not be
+/// the one that was sent first.
+#[test]
+fn the_deduplication_window_begins_with_the_first_attempt_that_was_sent() {
+    let mut sim = lose_write_at_failover(hedging_settings(1.3), 0.8);
+    assert_eq!(attempts_of(&sim, "lost").len(), 2);
+    sim.finish_attempt("lost", REMOTE_REPLICA, 1, Outcome::Error);
+    sim.advance_time(0.05);
+    sim.finish_attempt("lost", PRIMARY, 0, Outcome::ConnectionReset);
+    assert_eq!(attempts_of(&sim, "lost").len(), 2, "1.35 s after the first");
+    assert_eq!(final_answers(&sim.actions), 1);
+}
+
+#[test]
+fn without_hedging_a_request_never_has_two_attempts_in_flight() {
+    let mut sim = Simulation::new(default_settings());
+    sim.report_fresh(LOCAL_REPLICA);
+    sim.report_fresh(REMOTE_REPLICA);
+    sim.request("b", BOUNDED_READ);
+    sim.advance_time(1.7);
+    assert_eq!(sent_endpoints(&sim.actions).len(), 1);
+}
--- /dev/null
+++ b/tests/policy/sessions.rs
@@ -0,0 +1,99 @@
+//! Read-your-writes consistency: a session's reads see its own earlier writes.
+
+use pg_pooler::interface::{Action, Event, Outcome, Request};
+use pg_pooler::settings::{Settings, StaleReadHandling};
+
+use crate::harness::{
+    default_settings, sent_endpoints, session_request, FinishedAttempt, Simulation, KEYED_WRITE,
+    LOCAL_REPLICA, NON_IDEMPOTENT_WRITE, PRIMARY, SESSION_READ,
+};
+
+/// Settings under which the pooler remembers when each session last wrote, and endpoints serve stale reads.
+fn remembered_sessions() -> Settings {
+    Settings { stale_reads: StaleReadHandling::Serve, session_tokens_carried: false, ..default_settings() }
+}
+
+fn request(sim: &mut Simulation, id: &str, class: usize) -> Vec<Action> {
+    sim.handle(Event::Request(session_request(id, class)))
+}
+
+#[test]
+fn a_session_read_goes_to_a_replica_only_once_it_has_applied_the_sessions_write() {
+    let mut sim = Simulation::new(Settings { stale_reads: StaleReadHandling::Serve, ..default_settings() });
+    sim.report_fresh(LOCAL_REPLICA);
+    sim.now += 0.2;
+    let read = |id: &str, age: f64| {
+        let request = session_request(id, SESSION_READ);
+        Event::Request(Request { session: None, session_token_age: Some(age), ..request })
+    };
+    assert_eq!(sent_endpoints(&sim.handle(read("old", 0.3))), [LOCAL_REPLICA]);
+    assert_eq!(sent_endpoints(&sim.handle(read("new", 0.1))), [PRIMARY]);
+}
+
+#[test]
+fn a_remembered_write_sends_its_sessions_reads_to_the_primary() {
+    let mut sim = Simulation::new(remembered_sessions());
+    sim.report_fresh(LOCAL_REPLICA);
+    assert_eq!(sent_endpoints(&request(&mut sim, "before", SESSION_READ)), [LOCAL_REPLICA]);
+    request(&mut sim, "w", KEYED_WRITE);
+    sim.now += 0.05;
+    let commit = sim.now;
+    sim.finish_attempt_with(
+        FinishedAttempt::new("w", PRIMARY, Outcome::Success).primary(true).log_position(commit),
+    );
+    assert_eq!(sent_endpoints(&request(&mut sim, "after", SESSION_READ)), [PRIMARY]);
+}
+
+#[test]
+fn a_write_without_a_credible_commit_position_counts_as_committed_when_it_was_answered() {
+    let mut sim = Simulation::new(remembered_sessions());
+    sim.report_fresh(LOCAL_REPLICA);
+    // No position, one in the future and one that is not a number.
+    for (id, commit) in [("1", None), ("2", Some(sim.now + 1e6)), ("3", Some(f64::NAN))] {
+        sim.now += 0.1;
+        request(&mut sim, id, KEYED_WRITE);
+        let written = FinishedAttempt::new(id, PRIMARY, Outcome::Success).primary(true);
+        sim.finish_attempt_with(written.log_position(commit));
+
+        let read = format!("{id} read");
+        assert_eq!(sent_endpoints(&request(&mut sim, &read, SESSION_READ)), [PRIMARY]);
+        sim.finish_attempt_with(FinishedAttempt::new(&read, PRIMARY, Outcome::Success).primary(true));
+
+        sim.report_fresh(LOCAL_REPLICA);
+        let later = format!("{id} later");
+        assert_eq!(sent_endpoints(&request(&mut sim, &later, SESSION_READ)), [LOCAL_REPLICA]);
+        sim.finish_attempt_with(FinishedAttempt::new(&later, LOCAL_REPLICA, Outcome::Success).primary(false));
+    }
+}
+
+/// A pooler that remembers writes knows of none after a restart: any session may have written before it.
+#[test]
+fn after_a_restart_an_unknown_session_reads_data_at_least_as_new_as_the_start() {
+    let mut sim = Simulation::new(remembered_sessions());
+    sim.report_position(LOCAL_REPLICA, sim.now - 0.3);
+    assert_eq!(sent_endpoints(&request(&mut sim, "early", SESSION_READ)), [PRIMARY]);
+    sim.report_fresh(LOCAL_REPLICA);
+    assert_eq!(sent_endpoints(&request(&mut sim, "later", SESSION_READ)), [LOCAL_REPLICA]);
+}
+
+/// A write that is in flight, or whose answer was lost, may have been executed. A replica without it must not
+/// answer the reads of its session that follow.
+#[test]
+fn a_write_that_may_have_been_executed_sends_its_sessions_reads_to_the_primary() {
+    let mut sim = Simulation::new(remembered_sessions());
+    sim.report_fresh(LOCAL_REPLICA);
+    assert_eq!(sent_endpoints(&request(&mut sim, "before", SESSION_READ)), [LOCAL_REPLICA]);
+    assert_eq!(sent_endpoints(&request(&mut sim, "w", NON_IDEMPOTENT_WRITE)), [PRIMARY]);
+    sim.now += 0.1;
+    sim.report_fresh(LOCAL_REPLICA);
+    sim.now += 0.1;
+    let in_flight = request(&mut sim, "while it is in flight", SESSION_READ);
+    assert_eq!(sent_endpoints(&in_flight), [PRIMARY]);
+    sim.finish_attempt("w", PRIMARY, 0, Outcome::ConnectionReset);
+    sim.now += 0.1;
+    let before_loss = request(&mut sim, "the replica is older than the loss", SESSION_READ);
+    assert_eq!(sent_endpoints(&before_loss), [PRIMARY]);
+    sim.report_fresh(LOCAL_REPLICA);
+    let after_loss = request(&mut sim, "the replica is newer", SESSION_READ);
+    assert_eq!(sent_endpoints(&after_loss), [LOCAL_REPLICA]);
+}
--- /dev/null
+++ b/tests/policy/slow_start.rs
@@ -0,0 +1,140 @@
+//! Slow start: an endpoint that has just started gets only what its present capacity bears.
+
+use pg_pooler::interface::{Endpoint, Outcome, UpdateKind};
+use pg_pooler::settings::Settings;
+use rstest::rstest;
+
+use crate::harness::{
+    default_settings, first_endpoint, primary, replica, sent_endpoints, FinishedAttempt, Simulation,
+    BOUNDED_READ, EVENTUAL_READ, LOCAL_REPLICA, LOCAL_ZONE, PRIMARY, REMOTE_REPLICA, REMOTE_ZONE,
+};
+
+/// Remote replicas of the fleet test, all at full capacity.
+const REMOTE_REPLICAS: [&str; 4] = ["remote-1", "remote-2", "remote-3", "remote-4"];
+/// Requests per second of the whole fleet.
+const FLEET_RATE: f64 = 240.0;
+/// Seconds that the fleet test simulates.
+const FLEET_SECONDS: f64 = 6.0;
+/// Requests of the fleet test.
+const FLEET_REQUESTS: usize = (FLEET_SECONDS * FLEET_RATE) as usize;
+
+/// The local replica, started at that time.
+fn warming_replica(started_at: f64) -> Endpoint {
+    Endpoint { started_at, ..replica(LOCAL_REPLICA, LOCAL_ZONE) }
+}
+
+#[test]
+fn a_warming_endpoint_gets_a_small_share_of_the_reads() {
+    let mut sim = Simulation::new(default_settings());
+    sim.update_endpoints(UpdateKind::Delta, vec![warming_replica(sim.now)]);
+    let (mut to_warming, mut all) = (0, 0);
+    for i in 0..200 {
+        sim.advance_time(0.01);
+        let id = format!("a{i}");
+        if let Some(endpoint) = first_endpoint(&sim.request(&id, EVENTUAL_READ)) {
+            all += 1;
+            to_warming += usize::from(endpoint == LOCAL_REPLICA);
+            sim.finish_attempt(&id, &endpoint, 0, Outcome::Success);
+        }
+    }
+    assert!(all > 150 && to_warming > 0 && to_warming * 3 < all, "{to_warming} of {all}");
+}
+
+/// Guards against a first request that every pooler sends unconditionally: hundreds at once overload an
+/// endpoint that has just started.
+#[test]
+fn the_first_reads_of_a_large_fleet_respect_a_warming_endpoints_capacity() {
+    let mut to_warming = 0;
+    for seed in 0..200 {
+        let settings = Settings { pooler_count: 200, ..default_settings() };
+        let mut sim = Simulation::with_endpoints(settings, seed, |now| {
+            vec![primary(PRIMARY, LOCAL_ZONE), warming_replica(now), replica(REMOTE_REPLICA, REMOTE_ZONE)]
+        });
+        let first = sim.request("first", EVENTUAL_READ);
+        to_warming += usize::from(sent_endpoints(&first) == [LOCAL_REPLICA]);
+    }
+    assert!((10..=70).contains(&to_warming), "{to_warming} of 200 first reads, at a fifth of the capacity");
+}
+
+/// A read that went to the warming endpoint.
+struct WarmingRead {
+    sent_at: f64,
+    /// Work, in multiples of a short read's.
+    work: f64,
+}
+
+/// Poolers that share one group, whose only local replica for all of them is warming up.
+struct Fleet {
+    poolers: Vec<Simulation>,
+    random: fastrand::Rng,
+    started_at: f64,
+}
+
+impl Fleet {
+    fn new(settings: &Settings, seed: u64) -> Fleet {
+        let pooler = |number: u32| {
+            Simulation::with_endpoints(settings.clone(), seed << 32 | u64::from(number), |now| {
+                let remote = REMOTE_REPLICAS.map(|id| replica(id, REMOTE_ZONE));
+                [vec![primary(PRIMARY, LOCAL_ZONE), warming_replica(now)], remote.to_vec()].concat()
+            })
+        };
+        let poolers: Vec<Simulation> = (0..settings.pooler_count).map(pooler).collect();
+        let started_at = poolers[0].now;
+        Fleet { poolers, random: fastrand::Rng::with_seed(seed), started_at }
+    }
+
+    /// Serves one read at a random pooler, a few of which get most of the traffic. Returns its endpoint.
+    fn serve(&mut self, id: &str, class: usize, now: f64, work: f64) -> String {
+        let pooler = (self.random.f64().powi(3) * self.poolers.len() as f64) as usize;
+        let sim = &mut self.poolers[pooler];
+        sim.now = now;
+        for endpoint in [LOCAL_REPLICA].into_iter().chain(REMOTE_REPLICAS) {
+            sim.report_fresh(endpoint);
+        }
+        let endpoint = sim.route(id, class);
+        let served = FinishedAttempt::new(id, &endpoint, Outcome::Success).elapsed(0.05 * work);
+        sim.finish_attempt_with(served.log_position(now).primary(endpoint == PRIMARY));
+        endpoint
+    }
+}
+
+/// Within each overload window, the endpoint must get no more work than its capacity times the overload
+/// limit, and what chance adds to that.
+fn assert_never_overloaded(reads: &[WarmingRead], mean_work: f64, started_at: f64, settings: &Settings) {
+    // Six endpoints bear the load, which is four fifths of their capacity.
+    let capacity = FLEET_RATE / 6.0 / 0.8;
+    for (first, WarmingRead { sent_at, .. }) in reads.iter().enumerate() {
+        let window =
+            reads[first..].iter().take_while(|read| read.sent_at <= sent_at + settings.overload_window);
+        let work = window.map(|read| read.work).sum::<f64>() / mean_work;
+        let warmth = settings.initial_capacity
+            + (1.0 - settings.initial_capacity) * (sent_at - started_at) / settings.slow_start_window;
+        let limit = settings.overload_limit * warmth * capacity * settings.overload_window;
+        assert!(work <= limit + 2.0 * limit.sqrt() + 2.0, "{work} over a limit of {limit}, at {sent_at}");
+    }
+}
+
+/// A whole fleet respects the overload limit of a warming endpoint, although its poolers do not communicate,
+/// have unequal traffic, and one read in ten may take four times as long as the others.
+#[rstest]
+fn a_whole_fleet_respects_the_overload_limit_of_a_warming_endpoint(
+    #[values(20, 300)] pooler_count: u32,
+    #[values(1.5, 2.0, 4.0)] overload_limit: f64,
+    #[values(false, true)] long_reads: bool,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let settings = Settings { pooler_count, overload_limit, ..default_settings() };
+    let mut fleet = Fleet::new(&settings, seed);
+    let (mut reads, mut total_work) = (Vec::new(), 0.0);
+    for i in 0..FLEET_REQUESTS {
+        let sent_at = fleet.started_at + i as f64 / FLEET_RATE;
+        let is_long = long_reads && i % 10 == 0;
+        let (class, work) = if is_long { (EVENTUAL_READ, 4.0) } else { (BOUNDED_READ, 1.0) };
+        total_work += work;
+        if fleet.serve(&format!("q{i}"), class, sent_at, work) == LOCAL_REPLICA {
+            reads.push(WarmingRead { sent_at, work });
+        }
+    }
+    assert!(reads.len() > 10, "it gets some: {}", reads.len());
+    assert_never_overloaded(&reads, total_work / (FLEET_SECONDS * FLEET_RATE), fleet.started_at, &settings);
+}
