--- a/tests/policy/harness.rs
+++ b/tests/policy/harness.rs
@@ -206,7 +206,7 @@
     }
 
     /// Removes the earliest timer if it expires by then.
-    fn take_timer_until(&mut self, end: f64) -> Option<(f64, u64)> {
+    pub fn take_timer_until(&mut self, end: f64) -> Option<(f64, u64)> {
         let expiries = self.timers.iter().map(|(at, _)| at).enumerate();
         let (earliest, at) = expiries.min_by(|a, b| a.1.total_cmp(b.1))?;
         (*at <= end).then(|| self.timers.swap_remove(earliest))
--- /dev/null
+++ b/tests/policy/invariants/checker.rs
@@ -0,0 +1,312 @@
+//! Checks each action of the policy against the events that it has received.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use pg_pooler::interface::{
+    Action, AttemptResult, Endpoint, EndpointStatus, Event, LoadReport, Outcome, Request, StateChange,
+    UpdateKind,
+};
+use pg_pooler::settings::{Consistency, Idempotency, RequestClass, Settings, StaleReadHandling};
+
+use super::coverage::Coverage;
+use super::records::{AttemptRecord, EndpointRecord, RequestRecord};
+
+/// Tolerance for rounding, in seconds.
+const ROUNDING: f64 = 1e-6;
+/// Log positions up to this far ahead of the clock are credible, as in the policy.
+const CLOCK_TOLERANCE: f64 = 0.001;
+
+/// An invariant that was broken, and by which request.
+pub struct Violation {
+    pub rule: &'static str,
+    pub request: Arc<str>,
+}
+
+/// Follows the events and actions of one policy.
+pub struct Checker {
+    settings: Settings,
+    now: f64,
+    started_at: f64,
+    endpoints: HashMap<Arc<str>, EndpointRecord>,
+    /// The primary of each group as the policy last announced it.
+    believed_primary: HashMap<u32, Option<Arc<str>>>,
+    /// The log position that includes all ended writes of each session.
+    session_writes: HashMap<Arc<str>, f64>,
+    pub requests: HashMap<Arc<str>, RequestRecord>,
+    pub coverage: Coverage,
+}
+
+impl Checker {
+    pub fn new(settings: Settings, started_at: f64) -> Checker {
+        Checker {
+            settings,
+            now: started_at,
+            started_at,
+            endpoints: HashMap::new(),
+            believed_primary: HashMap::new(),
+            session_writes: HashMap::new(),
+            requests: HashMap::new(),
+            coverage: Coverage::default(),
+        }
+    }
+
+    /// Takes note of an event that the policy is about to receive.
+    pub fn observe_event(&mut self, now: f64, event: &Event) {
+        self.now = now;
+        match event {
+            Event::Endpoints { kind, endpoints } => self.observe_endpoints(*kind, endpoints),
+            Event::Request(request) => self.observe_request(request),
+            Event::AttemptFinished(result) => self.observe_result(result),
+            Event::HealthChecked { endpoint, outcome: Outcome::Success, report } => {
+                self.observe_report(endpoint, report);
+            }
+            Event::ResponseStarted { id } => self.end_request(id),
+            Event::ClientDisconnected { id } => {
+                if let Some(request) = self.requests.get_mut(id) {
+                    request.disconnected = true;
+                    let abandoned = request.attempts.iter().any(AttemptRecord::is_in_flight);
+                    self.coverage.abandoned_attempts += usize::from(abandoned);
+                }
+            }
+            Event::HealthChecked { .. } | Event::Timer { .. } => {}
+        }
+    }
+
+    fn observe_endpoints(&mut self, kind: UpdateKind, entries: &[Endpoint]) {
+        if matches!(kind, UpdateKind::Snapshot | UpdateKind::Cached) {
+            for record in self.endpoints.values_mut() {
+                record.status = EndpointStatus::Removed;
+            }
+        }
+        for entry in entries {
+            let record = self.endpoints.entry(entry.id.clone()).or_default();
+            record.group = entry.group;
+            record.status = entry.status;
+            record.draining = match entry.status {
+                EndpointStatus::Serving => false,
+                EndpointStatus::Draining => true,
+                EndpointStatus::Removed => record.draining,
+            };
+        }
+    }
+
+    fn observe_request(&mut self, request: &Request) {
+        let record = RequestRecord {
+            class: request.class,
+            group: request.group,
+            arrived_at: self.now,
+            deadline: self.now + request.timeout.min(self.settings.classes[request.class].deadline),
+            session: request.session.clone(),
+            session_position: self.session_position(request),
+            attempts: Vec::new(),
+            final_answers: 0,
+            disconnected: false,
+        };
+        self.requests.insert(request.id.clone(), record);
+    }
+
+    /// The log position by which the session's writes before this request are applied.
+    fn session_position(&self, request: &Request) -> f64 {
+        if self.settings.session_tokens_carried {
+            return request.session_token_age.map_or(f64::NEG_INFINITY, |age| self.now - age);
+        }
+        let Some(session) = &request.session else { return self.started_at };
+        let is_write_in_flight = |other: &RequestRecord| {
+            other.session.as_ref() == Some(session)
+                && self.settings.classes[other.class].is_write()
+                && other.attempts.iter().any(AttemptRecord::is_in_flight)
+        };
+        if self.requests.values().any(is_write_in_flight) {
+            return self.now;
+        }
+        // A session that is unknown may have written until the pooler started.
+        self.session_writes.get(session).copied().unwrap_or(self.started_at)
+    }
+
+    fn observe_result(&mut self, result: &AttemptResult) {
+        self.observe_position(&result.endpoint, result.log_position);
+        self.observe_report(&result.endpoint, &result.report);
+        let Some(request) = self.requests.get_mut(&result.id) else { return };
+        request.attempts[result.attempt].outcome = Some(result.outcome);
+        let is_write = self.settings.classes[request.class].is_write();
+        if let Some(session) = request.session.clone().filter(|_| is_write) {
+            self.observe_write(session, result);
+        }
+        // A result that comes after the end of its request is not an answer to the client any more.
+        let is_over = self.requests.get(&result.id).is_some_and(RequestRecord::is_over);
+        if result.request_finished && !is_over {
+            self.end_request(&result.id);
+        }
+    }
+
+    fn observe_write(&mut self, session: Arc<str>, result: &AttemptResult) {
+        if result.outcome.proves_not_executed() {
+            return;
+        }
+        let commit =
+            result.log_position.filter(|commit| result.outcome == Outcome::Success && *commit <= self.now);
+        let position = commit.unwrap_or(self.now);
+        let known = self.session_writes.entry(session).or_insert(position);
+        *known = known.max(position);
+    }
+
+    fn observe_report(&mut self, endpoint: &Arc<str>, report: &LoadReport) {
+        self.observe_position(endpoint, report.log_position);
+    }
+
+    fn observe_position(&mut self, endpoint: &Arc<str>, log_position: Option<f64>) {
+        let credible = log_position.filter(|p| p.is_finite() && *p <= self.now + CLOCK_TOLERANCE);
+        if let (Some(position), Some(record)) = (credible, self.endpoints.get_mut(endpoint)) {
+            record.log_position = Some(record.log_position.map_or(position, |known| known.max(position)));
+        }
+    }
+
+    fn end_request(&mut self, id: &Arc<str>) {
+        if let Some(request) = self.requests.get_mut(id) {
+            request.final_answers += 1;
+        }
+    }
+
+    /// Checks the next action that followed from the event.
+    pub fn check_action(&mut self, action: &Action) -> Result<(), Violation> {
+        match action {
+            Action::Send { id, endpoint, timeout } => {
+                self.check_send(id, endpoint, *timeout).map_err(|rule| violation(rule, id))?;
+                self.count_send(id, endpoint);
+                let attempt = AttemptRecord { sent_at: self.now, outcome: None };
+                if let Some(request) = self.requests.get_mut(id) {
+                    request.attempts.push(attempt);
+                }
+                Ok(())
+            }
+            Action::Reject { id, .. } | Action::Fail { id } => {
+                let rejects = matches!(action, Action::Reject { .. });
+                self.check_final_answer(id, rejects).map_err(|rule| violation(rule, id))?;
+                self.coverage.rejections += usize::from(rejects);
+                self.coverage.failures += usize::from(!rejects);
+                self.end_request(id);
+                Ok(())
+            }
+            Action::Log(StateChange::PrimaryChanged { group, primary }) => {
+                self.believed_primary.insert(*group, primary.clone());
+                Ok(())
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn check_final_answer(&self, id: &Arc<str>, rejects: bool) -> Result<(), &'static str> {
+        let request = self.requests.get(id).ok_or("a final answer goes to a request that was received")?;
+        require(!request.is_over(), "each request gets at most one final answer")?;
+        let is_in_time = self.now <= request.deadline + ROUNDING;
+        require(is_in_time, "each request gets a final answer by its deadline")?;
+        let class = &self.settings.classes[request.class];
+        let harmless = class.idempotency != Idempotency::NonIdempotent
+            || request.may_have_been_executed_since().is_none();
+        require(!rejects || harmless, "what may have been executed and is not idempotent fails, not rejected")
+    }
+
+    fn check_send(&self, id: &Arc<str>, endpoint: &Arc<str>, timeout: f64) -> Result<(), &'static str> {
+        let request = self.requests.get(id).ok_or("only a request that was received is sent")?;
+        let target = self.endpoints.get(endpoint).ok_or("a request goes only to a listed endpoint")?;
+        require(request.final_answers == 0, "nothing is sent after the final answer")?;
+        require(!request.disconnected, "nothing is sent after the client disconnected")?;
+        let in_flight = request.attempts.iter().filter(|attempt| attempt.is_in_flight()).count();
+        require(in_flight == 0 || self.settings.hedging, "two attempts in flight only with hedging")?;
+        require(target.group == request.group, "a request goes only to an endpoint of its own group")?;
+        require(!target.draining, "nothing is sent to a draining endpoint")?;
+        let removed = target.status == EndpointStatus::Removed && !self.settings.removal_is_advisory;
+        require(!removed, "nothing is sent to a removed endpoint")?;
+        let class = &self.settings.classes[request.class];
+        self.check_repeat(request, class, timeout)?;
+        let is_primary = self.believed_primary.get(&request.group) == Some(&Some(endpoint.clone()));
+        self.check_consistency(request, class, target, is_primary)
+    }
+
+    /// Checks that the class allows one more attempt of what may have been executed.
+    fn check_repeat(
+        &self,
+        request: &RequestRecord,
+        class: &RequestClass,
+        timeout: f64,
+    ) -> Result<(), &'static str> {
+        let Some(first) = request.may_have_been_executed_since() else { return Ok(()) };
+        let window_end = first + class.deduplication_window + ROUNDING;
+        match class.idempotency {
+            Idempotency::Idempotent => Ok(()),
+            Idempotency::NonIdempotent => {
+                Err("what may have been executed and is not idempotent is not repeated")
+            }
+            Idempotency::IdempotencyKey => {
+                require(self.now < window_end, "no repeat is sent after the deduplication window")?;
+                require(self.now + timeout <= window_end, "no repeat is waited for after the window")
+            }
+        }
+    }
+
+    /// Checks that the data of the endpoint is known to be recent enough, where it would serve stale reads.
+    fn check_consistency(
+        &self,
+        request: &RequestRecord,
+        class: &RequestClass,
+        target: &EndpointRecord,
+        is_primary: bool,
+    ) -> Result<(), &'static str> {
+        let position = target.log_position.unwrap_or(f64::NEG_INFINITY);
+        let serves_stale_reads = self.settings.stale_reads == StaleReadHandling::Serve;
+        match class.consistency {
+            Consistency::Strong => require(is_primary, "a strong read goes only to the primary"),
+            Consistency::Session if serves_stale_reads => require(
+                is_primary || position + ROUNDING >= request.session_position,
+                "a session read goes only to an endpoint that has applied the session's writes",
+            ),
+            Consistency::BoundedStaleness(bound) if serves_stale_reads => require(
+                is_primary || position + ROUNDING >= self.now - bound,
+                "a bounded read goes only to an endpoint that is fresh enough",
+            ),
+            _ => Ok(()),
+        }
+    }
+
+    /// Counts which invariants were at stake in an attempt that is about to start.
+    fn count_send(&mut self, id: &Arc<str>, endpoint: &Arc<str>) {
+        let (request, coverage) = (&self.requests[id], &mut self.coverage);
+        let class = &self.settings.classes[request.class];
+        let is_first = request.attempts.is_empty();
+        let is_hedged = request.attempts.iter().any(AttemptRecord::is_in_flight);
+        let is_repeat = request.may_have_been_executed_since().is_some();
+        let is_keyed = class.idempotency == Idempotency::IdempotencyKey;
+        let by_position =
+            matches!(class.consistency, Consistency::Session | Consistency::BoundedStaleness(_))
+                && self.settings.stale_reads == StaleReadHandling::Serve
+                && self.believed_primary.get(&request.group) != Some(&Some(endpoint.clone()));
+        let is_draining = |other: &EndpointRecord| other.group == request.group && other.draining;
+        coverage.queued_requests += usize::from(is_first && self.now > request.arrived_at);
+        coverage.retries += usize::from(!is_first && !is_hedged);
+        coverage.hedged_requests += usize::from(is_hedged);
+        coverage.keyed_repeats += usize::from(is_repeat && is_keyed);
+        coverage.reads_by_position += usize::from(by_position);
+        coverage.sends_during_a_drain += usize::from(self.endpoints.values().any(is_draining));
+    }
+
+    /// Checks, once every deadline has passed, that each request got its final answer.
+    pub fn check_end(&self) -> Result<(), Violation> {
+        match self.requests.iter().find(|(_, request)| !request.is_over()) {
+            Some((id, _)) => Err(violation("each request gets a final answer", id)),
+            None => Ok(()),
+        }
+    }
+}
+
+fn require(holds: bool, rule: &'static str) -> Result<(), &'static str> {
+    if holds {
+        Ok(())
+    } else {
+        Err(rule)
+    }
+}
+
+fn violation(rule: &'static str, request: &Arc<str>) -> Violation {
+    Violation { rule, request: request.clone() }
+}
--- /dev/null
+++ b/tests/policy/invariants/hosts.rs
@@ -0,0 +1,177 @@
+//! Simulated endpoints, and what discovery says of them.
+
+use std::sync::Arc;
+
+use pg_pooler::interface::{Endpoint, EndpointStatus, Event, Outcome, UpdateKind};
+use pg_pooler::settings::{Consistency, RequestClass};
+
+pub const GROUPS: u32 = 2;
+const ENDPOINTS_PER_GROUP: u32 = 4;
+const ZONES: u32 = 2;
+/// How far a session read's data may lag before an endpoint that checks rejects it.
+const SESSION_LAG: f64 = 1.0;
+
+/// How an endpoint treats the attempts that reach it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Condition {
+    Healthy,
+    /// Refuses connections.
+    Down,
+    /// Accepts requests and never answers.
+    Hanging,
+    Overloaded,
+    /// Fails or breaks the connection now and then.
+    Faulty,
+}
+
+/// An endpoint as it really is.
+pub struct Host {
+    pub entry: Endpoint,
+    pub is_primary: bool,
+    pub condition: Condition,
+    /// The log position that it has applied.
+    pub applied: f64,
+}
+
+impl Host {
+    /// How an attempt that is sent now will end.
+    pub fn outcome(
+        &self,
+        now: f64,
+        class: &RequestClass,
+        rejects_stale_reads: bool,
+        random: &mut fastrand::Rng,
+    ) -> Outcome {
+        match self.condition {
+            Condition::Down => Outcome::ConnectFailed,
+            Condition::Hanging => Outcome::Timeout,
+            Condition::Overloaded => Outcome::Overloaded,
+            Condition::Faulty if random.bool() => {
+                [Outcome::Error, Outcome::ConnectionReset, Outcome::Timeout][random.usize(..3)]
+            }
+            Condition::Healthy | Condition::Faulty => match random.u32(..50) {
+                0 => Outcome::InvalidRequest,
+                1 => Outcome::NotSent,
+                2 => Outcome::ConnectionReset,
+                _ if class.needs_primary() && !self.is_primary => Outcome::Ineligible,
+                _ if rejects_stale_reads && self.is_stale(now, class.consistency) => Outcome::Ineligible,
+                _ => Outcome::Success,
+            },
+        }
+    }
+
+    /// How a health check that starts now will end.
+    pub fn health_check_outcome(&self) -> Outcome {
+        match self.condition {
+            Condition::Down => Outcome::ConnectFailed,
+            Condition::Overloaded => Outcome::Overloaded,
+            Condition::Healthy | Condition::Hanging | Condition::Faulty => Outcome::Success,
+        }
+    }
+
+    fn is_stale(&self, now: f64, consistency: Consistency) -> bool {
+        match consistency {
+            Consistency::BoundedStaleness(bound) => self.applied < now - bound,
+            Consistency::Session => self.applied < now - SESSION_LAG,
+            Consistency::Write | Consistency::Strong | Consistency::Eventual => false,
+        }
+    }
+
+    /// The log position in a response: mostly the true one, sometimes none or an impossible one.
+    pub fn reported_position(&self, now: f64, random: &mut fastrand::Rng) -> Option<f64> {
+        match random.u32(..20) {
+            0 => Some(now + 1e6),
+            1 => Some(f64::NAN),
+            2..=5 => None,
+            _ => Some(self.applied).filter(|applied| applied.is_finite()),
+        }
+    }
+}
+
+/// All endpoints of all groups.
+pub struct Hosts(Vec<Host>);
+
+impl Hosts {
+    /// Healthy endpoints, the first one of each group its primary.
+    pub fn new() -> Hosts {
+        let host = |number: u32| {
+            let group = number / ENDPOINTS_PER_GROUP;
+            let is_primary = number.is_multiple_of(ENDPOINTS_PER_GROUP);
+            let id = format!("endpoint-{number}").into();
+            let entry =
+                Endpoint { id, zone: number % ZONES, group, primary: is_primary, ..Endpoint::default() };
+            Host { entry, is_primary, condition: Condition::Healthy, applied: f64::NEG_INFINITY }
+        };
+        Hosts((0..GROUPS * ENDPOINTS_PER_GROUP).map(host).collect())
+    }
+
+    /// The endpoint with that identifier as it is now: a primary has applied all commits.
+    pub fn get(&mut self, id: &Arc<str>, now: f64) -> &Host {
+        let host = self.0.iter_mut().find(|host| host.entry.id == *id).expect("a listed endpoint");
+        if host.is_primary {
+            host.applied = now;
+        }
+        host
+    }
+
+    /// The entries of a complete list.
+    pub fn listed(&self) -> Vec<Endpoint> {
+        let listed = self.0.iter().filter(|host| host.entry.status != EndpointStatus::Removed);
+        listed.map(|host| host.entry.clone()).collect()
+    }
+
+    /// Lets replicas catch up, and now and then changes the condition or the role of an endpoint.
+    pub fn change(&mut self, now: f64, random: &mut fastrand::Rng) {
+        let index = random.usize(..self.0.len());
+        let host = &mut self.0[index];
+        if !host.is_primary && random.u32(..3) > 0 {
+            host.applied = host.applied.max(now - 0.7 * random.f64().powi(3));
+        }
+        match random.u32(..50) {
+            0..=1 => {
+                use Condition::{Down, Faulty, Hanging, Healthy, Overloaded};
+                let conditions = [Healthy, Healthy, Healthy, Down, Hanging, Overloaded, Faulty];
+                host.condition = conditions[random.usize(..conditions.len())];
+            }
+            2 => self.promote(index, now),
+            _ => {}
+        }
+    }
+
+    fn promote(&mut self, index: usize, now: f64) {
+        self.0[index].applied = now;
+        let group = self.0[index].entry.group;
+        for (other, host) in self.0.iter_mut().enumerate().filter(|(_, host)| host.entry.group == group) {
+            host.is_primary = other == index;
+        }
+    }
+
+    /// What discovery says next: the status, role, start or group of an endpoint, the whole list, or nothing.
+    pub fn list_update(&mut self, now: f64, random: &mut fastrand::Rng) -> Event {
+        let kind = match random.u32(..10) {
+            0 => UpdateKind::WatchFailed,
+            1..=2 => UpdateKind::Snapshot,
+            _ => UpdateKind::Delta,
+        };
+        let index = random.usize(..self.0.len());
+        let host = &mut self.0[index];
+        match random.u32(..16) {
+            0..=1 => host.entry.status = EndpointStatus::Draining,
+            2..=3 => host.entry.status = EndpointStatus::Removed,
+            4..=5 => host.entry.started_at = now,
+            6 => {
+                host.entry.group = random.u32(..GROUPS);
+                host.is_primary = false;
+            }
+            7..=11 => host.entry.status = EndpointStatus::Serving,
+            _ => {}
+        }
+        host.entry.primary = host.is_primary;
+        let endpoints = match kind {
+            UpdateKind::WatchFailed => Vec::new(),
+            UpdateKind::Delta => vec![host.entry.clone()],
+            UpdateKind::Snapshot | UpdateKind::Cached => self.listed(),
+        };
+        Event::Endpoints { kind, endpoints }
+    }
+}
--- /dev/null
+++ b/tests/policy/invariants/workload.rs
@@ -0,0 +1,288 @@
+//! A seeded simulation of clients, endpoints and discovery that produces legal events for one policy.
+
+use std::fmt;
+use std::sync::Arc;
+
+use pg_pooler::interface::{Action, AttemptResult, Event, LoadReport, Outcome, Request, UpdateKind};
+use pg_pooler::settings::{Settings, StaleReadHandling};
+
+use super::checker::{Checker, Violation};
+use super::hosts::{Hosts, GROUPS};
+use crate::harness::{default_settings, Simulation, KEYED_WRITE};
+
+/// Past every deadline, so that each request must have been answered.
+const SETTLING_TIME: f64 = 5.0;
+const CONNECT_TIME: f64 = 0.01;
+
+/// The result of an attempt or a health check that is on its way to the policy.
+struct Pending {
+    due: f64,
+    sent_at: f64,
+    event: Event,
+}
+
+/// A broken invariant, with the events that led to it.
+pub struct Failure {
+    seed: u64,
+    pub events: usize,
+    violation: Violation,
+    trace: Vec<String>,
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Violation { rule, request } = &self.violation;
+        writeln!(f, "seed {}, event {}, request {request}: {rule}", self.seed, self.events)?;
+        self.trace.iter().try_for_each(|line| writeln!(f, "  {line}"))
+    }
+}
+
+/// One policy, its surroundings and the checks of what it does.
+pub struct Workload {
+    seed: u64,
+    random: fastrand::Rng,
+    settings: Settings,
+    sim: Simulation,
+    pub checker: Checker,
+    hosts: Hosts,
+    pending: Vec<Pending>,
+    /// Requests that may still get their final answer.
+    live: Vec<Arc<str>>,
+    history: Vec<(f64, Event, Vec<Action>)>,
+    requests: usize,
+}
+
+fn random_settings(random: &mut fastrand::Rng) -> Settings {
+    let mut settings = default_settings();
+    settings.classes[KEYED_WRITE].deduplication_window = [0.4, 0.8, 1.2, 2.0][random.usize(..4)];
+    Settings {
+        tenant_quota: if random.bool() { vec![50.0, 3.0] } else { Vec::new() },
+        over_quota_weight: random.f64(),
+        pooler_count: [1, 3, 20][random.usize(..3)],
+        health_checks: random.bool(),
+        cancellation: random.bool(),
+        hedging: random.bool(),
+        max_attempts: random.u32(1..7),
+        watch_endpoints: random.bool(),
+        max_watch_gap: [2.0, 10.0][random.usize(..2)],
+        removal_is_advisory: random.bool(),
+        stale_reads: if random.bool() { StaleReadHandling::Serve } else { StaleReadHandling::Reject },
+        session_tokens_carried: random.bool(),
+        ..settings
+    }
+}
+
+impl Workload {
+    pub fn new(seed: u64) -> Workload {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let settings = random_settings(&mut random);
+        let hosts = Hosts::new();
+        let listed = hosts.listed();
+        let sim = Simulation::with_endpoints(settings.clone(), seed, |_| listed.clone());
+        let mut checker = Checker::new(settings.clone(), sim.now);
+        let first = Event::Endpoints { kind: UpdateKind::Cached, endpoints: listed };
+        checker.observe_event(sim.now, &first);
+        for action in &sim.actions {
+            assert!(checker.check_action(action).is_ok(), "nothing is sent before the first request");
+        }
+        let history = vec![(sim.now, first, sim.actions.clone())];
+        let (pending, live) = (Vec::new(), Vec::new());
+        Workload { seed, random, settings, sim, checker, hosts, pending, live, history, requests: 0 }
+    }
+
+    /// Delivers so many random events and then waits until every request is over.
+    pub fn run(&mut self, events: usize) -> Result<(), Failure> {
+        self.run_unreported(events).map_err(|violation| Failure {
+            seed: self.seed,
+            events: self.history.len(),
+            trace: self.trace_of(&violation.request),
+            violation,
+        })
+    }
+
+    fn run_unreported(&mut self, events: usize) -> Result<(), Violation> {
+        for _ in 0..events {
+            let pause = match self.random.u32(..100) {
+                0 => 10.0,
+                1..=4 => 1.0,
+                _ => 0.02,
+            };
+            let pause = pause * self.random.f64();
+            self.advance_time(pause)?;
+            let event = self.next_event();
+            self.deliver(event)?;
+        }
+        self.advance_time(SETTLING_TIME)?;
+        self.checker.check_end()
+    }
+
+    /// Advances the clock and delivers the timers and results that come due, in their order.
+    fn advance_time(&mut self, seconds: f64) -> Result<(), Violation> {
+        let end = self.sim.now + seconds;
+        loop {
+            let earliest = (0..self.pending.len())
+                .min_by(|a, b| self.pending[*a].due.total_cmp(&self.pending[*b].due))
+                .filter(|index| self.pending[*index].due <= end);
+            let horizon = earliest.map_or(end, |index| self.pending[index].due);
+            if let Some((at, cookie)) = self.sim.take_timer_until(horizon) {
+                self.sim.now = self.sim.now.max(at);
+                self.deliver(Event::Timer { cookie })?;
+            } else if let Some(index) = earliest {
+                let pending = self.pending.swap_remove(index);
+                self.sim.now = self.sim.now.max(pending.due);
+                let event = self.dated(pending);
+                self.deliver(event)?;
+            } else {
+                self.sim.now = end;
+                return Ok(());
+            }
+        }
+    }
+
+    /// Adds to a result what is known only when it arrives.
+    fn dated(&mut self, pending: Pending) -> Event {
+        let Event::AttemptFinished(result) = pending.event else { return pending.event };
+        let request = &self.checker.requests[&result.id];
+        // A client that has disconnected gets no answer, so its request may count as finished or not.
+        let is_over = request.final_answers > 0 || request.disconnected && self.random.bool();
+        let request_finished = result.request_finished || is_over;
+        let elapsed = self.sim.now - pending.sent_at;
+        Event::AttemptFinished(AttemptResult { request_finished, elapsed, ..result })
+    }
+
+    fn deliver(&mut self, event: Event) -> Result<(), Violation> {
+        self.checker.observe_event(self.sim.now, &event);
+        let actions = self.sim.handle(event.clone());
+        self.history.push((self.sim.now, event, actions.clone()));
+        for action in actions {
+            self.checker.check_action(&action)?;
+            self.carry_out(action);
+        }
+        let requests = &self.checker.requests;
+        self.live.retain(|id| !requests[id].is_over());
+        Ok(())
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send { id, endpoint, timeout } => self.start_attempt(id, endpoint, timeout),
+            Action::CancelAttempt { id, attempt } => self.cancel_attempt(&id, attempt),
+            Action::HealthCheck { endpoint } => self.start_health_check(endpoint),
+            _ => {}
+        }
+    }
+
+    fn start_attempt(&mut self, id: Arc<str>, endpoint: Arc<str>, timeout: f64) {
+        let request = &self.checker.requests[&id];
+        let (attempt, class) = (request.attempts.len() - 1, request.class);
+        let rejects_stale_reads = self.settings.stale_reads != StaleReadHandling::Serve;
+        let host = self.hosts.get(&endpoint, self.sim.now);
+        let class = &self.settings.classes[class];
+        let outcome = host.outcome(self.sim.now, class, rejects_stale_reads, &mut self.random);
+        let report = if outcome.is_response() { self.report(&endpoint) } else { LoadReport::default() };
+        let time = match outcome {
+            Outcome::Timeout => timeout,
+            Outcome::ConnectFailed if self.random.bool() => self.settings.connect_timeout.min(timeout),
+            Outcome::ConnectFailed | Outcome::Overloaded => CONNECT_TIME.min(timeout),
+            // A few answers are slow enough to be overdue.
+            _ if self.random.u32(..20) == 0 => timeout * self.random.f64(),
+            _ => (0.1 * self.random.f64()).min(timeout),
+        };
+        let result = AttemptResult {
+            id,
+            endpoint,
+            attempt,
+            outcome,
+            request_finished: matches!(outcome, Outcome::Success | Outcome::InvalidRequest),
+            elapsed: 0.0,
+            log_position: report.log_position,
+            primary: report.primary.filter(|_| self.random.u32(..4) > 0),
+            report: if self.random.bool() { report } else { LoadReport::default() },
+        };
+        self.schedule(time, Event::AttemptFinished(result));
+    }
+
+    fn start_health_check(&mut self, endpoint: Arc<str>) {
+        let outcome = self.hosts.get(&endpoint, self.sim.now).health_check_outcome();
+        let is_served = outcome == Outcome::Success;
+        let report = if is_served { self.report(&endpoint) } else { LoadReport::default() };
+        let time = 0.05 * self.random.f64();
+        self.schedule(time, Event::HealthChecked { endpoint, outcome, report });
+    }
+
+    /// What an endpoint reports about itself now.
+    fn report(&mut self, endpoint: &Arc<str>) -> LoadReport {
+        let host = self.hosts.get(endpoint, self.sim.now);
+        let log_position = host.reported_position(self.sim.now, &mut self.random);
+        LoadReport { log_position, primary: Some(host.is_primary) }
+    }
+
+    fn schedule(&mut self, time: f64, event: Event) {
+        let sent_at = self.sim.now;
+        self.pending.push(Pending { due: sent_at + time, sent_at, event });
+    }
+
+    fn cancel_attempt(&mut self, id: &str, number: usize) {
+        let due = self.sim.now + CONNECT_TIME;
+        for pending in &mut self.pending {
+            if let Event::AttemptFinished(result) = &mut pending.event {
+                if &*result.id == id && result.attempt == number && pending.due > due {
+                    pending.due = due;
+                    result.outcome = Outcome::Cancelled;
+                    result.request_finished = false;
+                    (result.log_position, result.primary) = (None, None);
+                    result.report = LoadReport::default();
+                }
+            }
+        }
+    }
+
+    fn next_event(&mut self) -> Event {
+        self.hosts.change(self.sim.now, &mut self.random);
+        let live = (!self.live.is_empty()).then(|| self.live[self.random.usize(..self.live.len())].clone());
+        match (self.random.u32(..100), live) {
+            (0..=3, Some(id)) => Event::ClientDisconnected { id },
+            (4..=5, Some(id)) if self.has_attempt_in_flight(&id) => Event::ResponseStarted { id },
+            (6..=13, _) => self.hosts.list_update(self.sim.now, &mut self.random),
+            _ => self.new_request(),
+        }
+    }
+
+    fn has_attempt_in_flight(&self, id: &Arc<str>) -> bool {
+        self.checker.requests[id].attempts.iter().any(|attempt| attempt.is_in_flight())
+    }
+
+    fn new_request(&mut self) -> Event {
+        let id: Arc<str> = format!("request-{}", self.requests).into();
+        self.requests += 1;
+        self.live.push(id.clone());
+        let random = &mut self.random;
+        Event::Request(Request {
+            id,
+            class: random.usize(..self.settings.classes.len()),
+            group: random.u32(..GROUPS),
+            timeout: 0.2 + 2.0 * random.f64(),
+            session_token_age: random.bool().then(|| 2.0 * random.f64()),
+            session: Some(format!("session-{}", random.u32(..6)).into()).filter(|_| random.bool()),
+            tenant: random.usize(..2),
+            predicted_work: None,
+            client_retry: false,
+        })
+    }
+
+    /// The list updates, changes of primary and events of one request, in readable form.
+    fn trace_of(&self, request: &str) -> Vec<String> {
+        let quoted = format!("{request:?}");
+        let mut lines = Vec::new();
+        for (now, event, actions) in &self.history {
+            let text = format!("{event:?}");
+            if matches!(event, Event::Endpoints { .. }) || text.contains(&quoted) {
+                lines.push(format!("{now:.4} {text}"));
+            }
+            let relevant = |text: &String| text.contains(&quoted) || text.contains("PrimaryChanged");
+            let actions = actions.iter().map(|action| format!("{action:?}")).filter(relevant);
+            lines.extend(actions.map(|text| format!("{now:.4}   -> {text}")));
+        }
+        lines
+    }
+}
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -6,6 +6,7 @@
 mod endpoint_list;
 mod event_handling;
 mod harness;
+mod invariants;
 mod outlier_detection;
 mod primary;
 mod read_routing;
