--- a/tests/examples.rs
+++ b/tests/examples.rs
@@ -1,4 +1,5 @@
 //! The example configuration that the README starts a newcomer with.
+#![allow(clippy::unwrap_used, reason = "a panic is how a test fails, also in its helper functions")]
 
 use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
