--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -77,7 +77,7 @@
     /// repeated while its class allows that, counted from the first such attempt, less the time to connect.
     pub(super) fn may_attempt(&self, request: &PendingRequest) -> bool {
         let class = self.class(request.class);
-        let may_overlap = self.settings.hedging || !request.in_flight();
+        let may_overlap = request.attempts_in_flight() < self.settings.max_attempts_in_flight();
         let is_in_time = |sent_at| self.now < class.repeatable_until(sent_at) - self.settings.connect_timeout;
         let may_repeat = request.may_have_run_since().is_none_or(is_in_time);
         may_overlap && may_repeat && (request.attempts.len() as u32) < self.settings.max_attempts
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -198,6 +198,15 @@
 }
 
 impl Settings {
+    /// How many attempts of one request may be in flight at a time.
+    pub fn max_attempts_in_flight(&self) -> usize {
+        if self.hedging {
+            2
+        } else {
+            1
+        }
+    }
+
     /// Capacity of an endpoint so long after its start, as a share of its full one.
     pub fn capacity_after(&self, time: f64) -> f64 {
         if time >= self.slow_start_window {
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -89,6 +89,11 @@
         Some(attempt.clone())
     }
 
+    /// How many attempts are in flight.
+    pub fn attempts_in_flight(&self) -> usize {
+        self.attempts.iter().filter(|attempt| attempt.in_flight).count()
+    }
+
     /// Whether an attempt is in flight.
     pub fn in_flight(&self) -> bool {
         self.attempts.iter().any(|attempt| attempt.in_flight)
--- a/tests/policy/invariants/checker.rs
+++ b/tests/policy/invariants/checker.rs
@@ -213,7 +213,8 @@
         require(request.final_answers == 0, "nothing is sent after the final answer")?;
         require(!request.disconnected, "nothing is sent after the client disconnected")?;
         let in_flight = request.attempts.iter().filter(|attempt| attempt.is_in_flight()).count();
-        require(in_flight == 0 || self.settings.hedging, "two attempts in flight only with hedging")?;
+        let limit = if self.settings.hedging { 2 } else { 1 };
+        require(in_flight < limit, "two attempts in flight only with hedging, and never three")?;
         require(target.group == request.group, "a request goes only to an endpoint of its own group")?;
         require(!target.draining, "nothing is sent to a draining endpoint")?;
         let removed = target.status == EndpointStatus::Removed && !self.settings.removal_is_advisory;
--- a/tests/policy/retries.rs
+++ b/tests/policy/retries.rs
@@ -224,6 +224,25 @@
     assert_eq!(final_answers(&sim.actions), 1);
 }
 
+/// Guards against hedging the hedge: with each attempt silent, a read was in flight at all replicas at once.
+#[test]
+fn with_hedging_a_request_never_has_three_attempts_in_flight() {
+    let mut settings = Settings { hedging: true, ..default_settings() };
+    settings.classes[EVENTUAL_READ].latency_objective = 1.8;
+    let mut sim = Simulation::new(settings);
+    let replicas = ["replica-1", "replica-2", "replica-3", "replica-4"];
+    sim.update_endpoints(UpdateKind::Delta, replicas.map(|id| replica(id, LOCAL_ZONE)).into());
+    for i in 0..30 {
+        let id = format!("quick-{i}");
+        let endpoint = sent_endpoints(&sim.request(&id, EVENTUAL_READ))[0].to_string();
+        sim.finish_attempt(&id, &endpoint, 0, Outcome::Success);
+        sim.advance_time(0.01);
+    }
+    sim.request("silent", EVENTUAL_READ);
+    sim.advance_time(1.7);
+    assert_eq!(attempts_of(&sim, "silent").len(), 2, "{:?}", attempts_of(&sim, "silent"));
+}
+
 #[test]
 fn without_hedging_a_request_never_has_two_attempts_in_flight() {
     let mut sim = Simulation::new(default_settings());
