--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -5,17 +5,17 @@
 use crate::settings::{RequestClass, Settings};
 use crate::state::{EndpointKey, LatencyEstimator, PendingRequest, RequestKey, TokenBucket};
 
-/// Share of the latency objective that the predicted latency may take, for the least ...
+/// Share of the latency objective that the predicted latency may take, for the lowest priority ...
 const MIN_OBJECTIVE_SHARE: f64 = 0.45;
-/// ... and for the most worthwhile class.
+/// ... and for the class of the highest priority.
 const MAX_OBJECTIVE_SHARE: f64 = 0.75;
 /// Requests in flight at an endpoint, from all poolers together, that are admitted in any case.
 const ALWAYS_ADMITTED: f64 = 8.0;
 /// Retry-After of a rejection, as a share of the objective: short, so that the retry still falls within it.
 const RETRY_AFTER_SHARE: f64 = 0.12;
-/// Requests that a tenant may save up at least: at many poolers a second's part of its quota is under one.
+/// Smallest burst of a tenant: with many poolers, one second of its quota is less than one request.
 const MIN_TENANT_BURST: f64 = 2.0;
-/// Load shedding is logged again only after so long without (seconds).
+/// Load shedding is logged again once it has paused for this long (seconds).
 const SHEDDING_LOG_INTERVAL: f64 = 1.0;
 
 /// Each tenant's allowance at this pooler.
@@ -26,41 +26,41 @@
 }
 
 impl Policy {
-    /// Latency to expect of one more request, from what its class took lately and the endpoint's load.
+    /// Expected latency of one more request, from the recent latency of its class and the endpoint's load.
     pub(super) fn predicted_latency(&self, endpoint: EndpointKey, class: usize) -> f64 {
         let load = &self.endpoints[endpoint].load;
-        let crowding = (f64::from(load.total(self.now)) + 1.0) / (load.usual + 1.0);
-        self.latency[class].mean * load.latency_ratio.max(0.5) * crowding.max(1.0)
+        let load_factor = (f64::from(load.total(self.now)) + 1.0) / (load.usual + 1.0);
+        self.latency[class].mean * load.latency_ratio.max(0.5) * load_factor.max(1.0)
     }
 
-    /// Rejects early what cannot be answered within this share of its objective: the least worthwhile first.
+    /// Rejects a request that cannot be answered within this share of its objective, low priorities first.
     pub(super) fn admit(&self, request: &PendingRequest, to: EndpointKey, objective_share: f64) -> Route {
-        // A late request waits in no longer a queue: it would make the timely ones late too.
+        // A late request must not wait in a longer queue: it would delay the requests that are still in time.
         let is_late = self.now >= request.objective_at;
-        let left = if is_late { request.deadline } else { request.objective_at } - self.now;
-        let objective = left.min(self.class(request.class).latency_objective) * objective_share;
-        let worth = self.relative_worth(request);
-        let limit = objective * (MIN_OBJECTIVE_SHARE + (MAX_OBJECTIVE_SHARE - MIN_OBJECTIVE_SHARE) * worth);
+        let time_left = if is_late { request.deadline } else { request.objective_at } - self.now;
+        let objective = time_left.min(self.class(request.class).latency_objective) * objective_share;
+        let priority = self.relative_priority(request);
+        let share = MIN_OBJECTIVE_SHARE + (MAX_OBJECTIVE_SHARE - MIN_OBJECTIVE_SHARE) * priority;
         let predicted = self.predicted_latency(to, request.class);
-        let is_admitted = predicted <= limit || self.always_admits(to, predicted);
+        let is_admitted = predicted <= objective * share || self.always_admits(to, predicted);
         is_admitted.then_some(to).ok_or(NoRoute::Reject)
     }
 
-    /// Worth of a request against the most worthwhile class; less beyond its tenant's quota.
-    fn relative_worth(&self, request: &PendingRequest) -> f64 {
+    /// Priority relative to the class with the highest one; lower beyond the tenant's quota.
+    fn relative_priority(&self, request: &PendingRequest) -> f64 {
         let classes = self.settings.classes.iter().zip(&self.latency);
-        let highest = classes.map(|(class, latency)| worth(class, latency)).fold(1e-9, f64::max);
-        let own = worth(self.class(request.class), &self.latency[request.class]) / highest;
+        let highest = classes.map(|(class, latency)| priority(class, latency)).fold(1e-9, f64::max);
+        let own = priority(self.class(request.class), &self.latency[request.class]) / highest;
         own * if request.over_quota { self.settings.over_quota_weight } else { 1.0 }
     }
 
-    /// A few requests are let through whatever is predicted, or the prediction would never hear of better
-    /// times; paced by the number of poolers, since many that each let a few through would jam an endpoint.
+    /// Some requests are admitted whatever the prediction, so that the estimates can recover. Their number is
+    /// divided among all poolers, which together would overload the endpoint otherwise.
     fn always_admits(&self, endpoint: EndpointKey, predicted: f64) -> bool {
         let load = &self.endpoints[endpoint].load;
-        let own_part = ALWAYS_ADMITTED / f64::from(self.settings.pooler_count);
-        let has_few = f64::from(load.total(self.now) + 1) <= own_part;
-        has_few || self.now - load.last_sent_at > predicted / own_part
+        let own_share = ALWAYS_ADMITTED / f64::from(self.settings.pooler_count);
+        let has_few = f64::from(load.total(self.now) + 1) <= own_share;
+        has_few || self.now - load.last_sent_at > predicted / own_share
     }
 
     pub(super) fn shed(&mut self, key: RequestKey) {
@@ -77,9 +77,9 @@
         let (class, id) = (self.class(request.class), request.id.clone());
         if class.clients_may_retry() || request.may_have_run_since().is_none() {
             let is_late = self.now >= request.objective_at - self.settings.tick;
-            let is_worthless = is_late && class.late_weight == 0.0;
+            let is_useless = is_late && class.late_weight == 0.0;
             let soon = class.latency_objective * RETRY_AFTER_SHARE;
-            let wait = if is_worthless { class.deadline } else { soon };
+            let wait = if is_useless { class.deadline } else { soon };
             let longest = if self.settings.send_retry_after { self.settings.max_retry_after } else { 0.0 };
             let retry_after = (wait * (0.5 + self.rng.f64())).min(longest);
             self.actions.push(Action::Reject { id, retry_after });
@@ -90,7 +90,7 @@
     }
 }
 
-/// Weight over the root of the latency: the quicker of two equals goes first, and the other is not starved.
-fn worth(class: &RequestClass, latency: &LatencyEstimator) -> f64 {
+/// Weight over the root of the latency: of equal weights the quicker class is preferred, but not strictly.
+fn priority(class: &RequestClass, latency: &LatencyEstimator) -> f64 {
     class.priority_weight / latency.mean.max(1e-3).sqrt()
 }
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -1,15 +1,15 @@
-//! The way of a request: its receipt, its attempts, idempotency, and its end.
+//! The life cycle of a request: receipt, attempts, idempotency, deadline.
 
 use super::primary_search::HEALTH_CHECKS_PER_REQUEST;
 use super::{NoRoute, Policy, Route, SAMPLE_WEIGHT};
 use crate::interface::{Action, Request};
 use crate::state::{Attempt, EndpointKey, PendingRequest, RequestKey};
 
-/// Retries allowed for each request: a tenth cannot amplify an overload.
+/// Retry tokens earned by each request: 10% more attempts cannot amplify an overload.
 const RETRIES_PER_REQUEST: f64 = 0.1;
-/// Saved-up retries at most: enough for the requests that one lost endpoint had in flight.
+/// Largest retry budget: enough for the requests that one lost endpoint had in flight.
 pub(super) const MAX_RETRIES: f64 = 20.0;
-/// Share of its time that a request may wait unsent: its client then has as much time to retry elsewhere.
+/// Share of its time that a request may wait unsent, which leaves its client time to retry elsewhere.
 const QUEUE_TIME_SHARE: f64 = 0.5;
 /// Weight of a new sample in the share of reads, which changes slowly: about fifty requests.
 const READ_SHARE_WEIGHT: f64 = 0.02;
@@ -21,11 +21,11 @@
         }
         let (now, tick) = (self.now, self.settings.tick);
         let class = self.class(request.class);
-        // Nobody waits longer than a class's clients do, whatever the request says.
-        let left = request.timeout.clamp(0.0, class.deadline);
+        // A request cannot claim a longer deadline than its class has.
+        let time_left = request.timeout.clamp(0.0, class.deadline);
         let stretch = class.latency_objective_factor * request.predicted_work.unwrap_or(0.0);
-        let objective = (class.latency_objective + stretch).min(left);
-        let queue_until = now + (left * QUEUE_TIME_SHARE - tick).max(0.0);
+        let objective = (class.latency_objective + stretch).min(time_left);
+        let queue_until = now + (time_left * QUEUE_TIME_SHARE - tick).max(0.0);
         let is_read = f64::from(u8::from(!class.needs_primary()));
         let session_token = self.session_token(&request);
         self.read_share += READ_SHARE_WEIGHT * (is_read - self.read_share);
@@ -36,7 +36,7 @@
         self.endpoints.request_received(request.group, now);
         let key = self.requests.insert(PendingRequest {
             objective_at: now + objective,
-            deadline: now + left,
+            deadline: now + time_left,
             queue_until,
             session_token,
             over_quota,
@@ -44,12 +44,12 @@
             ..PendingRequest::new(request)
         });
         self.actions.push(Action::SetTimer { at: queue_until, cookie: key });
-        // Every request has a timer that ends it just inside its deadline, whatever else happens.
-        self.actions.push(Action::SetTimer { at: (now + left - tick).max(now), cookie: key });
+        // This timer guarantees a final answer just before the deadline.
+        self.actions.push(Action::SetTimer { at: (now + time_left - tick).max(now), cookie: key });
         self.dispatch(key);
     }
 
-    /// Comes at the end of the time to wait in the queue, and again just inside the deadline.
+    /// The timer expires at the end of the queue time, and again just before the deadline.
     pub(super) fn request_timer_expired(&mut self, key: RequestKey) {
         let Some(request) = self.requests.unfinished_mut(key) else { return };
         if request.untried() || self.now + 2.0 * self.settings.tick >= request.deadline {
@@ -57,11 +57,11 @@
         }
     }
 
-    /// Takes the next step of a request that has no attempt in flight.
+    /// Routes a request that has no attempt in flight, or gives it up.
     pub(super) fn dispatch(&mut self, key: RequestKey) {
         let Some(request) = self.requests.get(key).filter(|request| !request.in_flight()) else { return };
-        let worthless_at = request.worthless_at(self.class(request.class).late_weight > 0.0);
-        if !self.may_attempt(request) || self.now >= worthless_at {
+        let useful_until = request.useful_until(self.class(request.class).late_weight > 0.0);
+        if !self.may_attempt(request) || self.now >= useful_until {
             return self.reject_or_fail(key);
         }
         let has_waited = self.now >= request.queue_until && request.untried();
@@ -100,12 +100,12 @@
         self.admit(request, primary, 1.0)
     }
 
-    /// Starts an attempt, if the request may have one there: no path goes round this.
+    /// Starts an attempt if the request may have one at this endpoint. All attempts are started here.
     pub(super) fn send(&mut self, key: RequestKey, to: EndpointKey) {
         let endpoint = &self.endpoints[to];
         let is_allowed = |r: &&PendingRequest| r.group == endpoint.group && self.may_attempt(r);
         let Some(request) = self.requests.get(key).filter(is_allowed) else { return };
-        // A retry may not wait in an endpoint's queue until after the deduplication window.
+        // A retry must not wait in the endpoint's queue until after the deduplication window.
         let class = self.class(request.class);
         let first_sent_at = request.may_have_run_since();
         let window_end = first_sent_at.map_or(f64::INFINITY, |sent_at| class.repeatable_until(sent_at));
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -4,12 +4,12 @@
 use crate::interface::{Action, Endpoint, EndpointStatus, StateChange, UpdateKind};
 use crate::state::EndpointKey;
 
-/// Longest mean backoff between calls (seconds): updates count as notified 6 s after discovery is back.
+/// Longest mean backoff between calls (seconds): the list must be current 6 s after discovery is back.
 const MAX_WATCH_BACKOFF: f64 = 0.8;
-/// A call that stays without any answer is repeated after this (seconds), which leaves time for an answer.
+/// A call without any answer is repeated after this time (seconds).
 const WATCH_CALL_TIMEOUT: f64 = 4.0;
 const MAX_COUNTED_FAILURES: i32 = 8;
-/// A removed endpoint is forgotten after this multiple of the watch gap, far past every deadline.
+/// A removed endpoint is forgotten after this multiple of the watch gap, far beyond every deadline.
 pub(super) const FORGET_AFTER: f64 = 3.0;
 
 impl Policy {
@@ -20,7 +20,7 @@
         }
     }
 
-    /// The list held so far stays in force; the watch is opened again after a growing, jittered backoff.
+    /// The current list stays in force; the watch is reopened after an exponential backoff with jitter.
     fn watch_failed(&mut self) {
         let failures = self.watch.failed(MAX_COUNTED_FAILURES);
         if failures == 1 {
@@ -35,7 +35,7 @@
             return self.watch_failed();
         }
         if kind == UpdateKind::Cached {
-            // A pooler that has just started remembers no writes: any session may have written until now.
+            // After a restart no writes are remembered: any session may have written until now.
             self.sessions.assume_writes_until(self.now);
         } else if self.watch.succeeded() {
             self.actions.push(Action::Log(StateChange::WatchRestored));
@@ -46,7 +46,7 @@
         }
     }
 
-    /// Whether anything new may go to an endpoint at all. A drain binds from its notification on.
+    /// Whether new requests may be sent to an endpoint. A drain is binding as soon as it is announced.
     pub(super) fn accepts_requests(&self, endpoint: EndpointKey) -> bool {
         let endpoint = &self.endpoints[endpoint];
         match endpoint.status {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -20,14 +20,14 @@
 
 /// Cookie of the housekeeping timer; requests use their own key, from 1.
 const HOUSEKEEPING_COOKIE: u64 = 0;
-/// Housekeeping period, as a share of the shortest latency objective: retries still fall within it.
+/// Housekeeping interval as a share of the shortest latency objective, which leaves time for a retry.
 const HOUSEKEEPING_SHARE: f64 = 0.1;
-/// First guess of a class's latency as a share of its objective, until answers tell.
+/// Initial estimate of a class's latency, as a share of its objective.
 const INITIAL_LATENCY: f64 = 0.25;
-/// Weight of a new sample in running means: about ten answers, so that they follow a change quickly.
+/// Weight of a new sample in running means, which so cover about ten answers.
 const SAMPLE_WEIGHT: f64 = 0.1;
 
-/// Why a request goes nowhere now: it waits for its group's primary, or no endpoint can answer it in time.
+/// Why a request is not sent now: it waits for its group's primary, or no endpoint can answer in time.
 enum NoRoute {
     Queue,
     Reject,
@@ -51,7 +51,7 @@
         Ok(policy)
     }
 
-    /// Takes one event at the time `now` and appends what is to be done.
+    /// Handles one event at the time `now` and appends the resulting actions.
     pub fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
         match event {
@@ -74,7 +74,7 @@
         actions.append(&mut self.actions);
     }
 
-    /// Looks after what no event announces: silence, overdue attempts, queued requests and the watch.
+    /// Handles what no event announces: overdue attempts, queued requests, lost primaries and the watch.
     fn housekeep(&mut self) {
         self.housekeeping_scheduled = false;
         self.reopen_watch();
--- a/src/policy/outlier_detection.rs
+++ b/src/policy/outlier_detection.rs
@@ -4,18 +4,18 @@
 use crate::interface::{Action, StateChange};
 use crate::state::EndpointKey;
 
-/// Failure score at which an endpoint is ejected: two plain failures or one lost process.
+/// Failure score at which an endpoint is ejected: two plain failures or one dead process.
 pub(super) const EJECTION_SCORE: f64 = 2.0;
 pub(super) const FAILURE: f64 = 1.0;
-/// Weight of what one connection that was cut off explains as well: a second within half a second ejects.
+/// Weight of a failure that may be due to a single connection: a second one soon after ejects.
 pub(super) const CONNECTION_LOST: f64 = 0.55 * EJECTION_SCORE;
 /// Weight of a connection that broke under a request.
 pub(super) const CONNECTION_RESET: f64 = 0.25 * EJECTION_SCORE;
 /// Half-life of the failure score, in multiples of the connect timeout.
 const SCORE_HALF_LIFE: f64 = 8.0;
-/// First ejection, in multiples of the connect timeout; doubles with each failed trial ...
+/// Duration of the first ejection, in multiples of the connect timeout; doubles with each relapse ...
 const FIRST_EJECTION: f64 = 2.0;
-/// ... up to this multiple, so that an endpoint that has recovered is found within a few seconds.
+/// ... up to this multiple, so that a recovered endpoint is reinstated within a few seconds.
 pub(super) const MAX_EJECTION: f64 = 12.0;
 const MAX_COUNTED_EJECTIONS: i32 = 5;
 
@@ -31,8 +31,8 @@
         if health.failure_score < EJECTION_SCORE || health.ejected && now < health.ejected_until {
             return;
         }
-        // A relapse soon after a return goes on where the last ejection stopped: one good trial does not
-        // clear an endpoint that fails now and then, and would be the idlest of all for failing fast.
+        // After a relapse the duration keeps growing: one successful trial does not clear an endpoint that
+        // fails intermittently, and which attracts requests because failures leave it idle.
         let is_relapse = health.ejected || now - health.reinstated_at < unit * MAX_EJECTION;
         let earlier = if is_relapse { health.consecutive_ejections } else { 0 };
         health.consecutive_ejections = (earlier + 1).min(MAX_COUNTED_EJECTIONS);
--- a/src/policy/overdue.rs
+++ b/src/policy/overdue.rs
@@ -6,13 +6,13 @@
 use crate::settings::{Consistency, Idempotency};
 use crate::state::{AttemptInFlight, EndpointKey, RequestKey};
 
-/// An attempt is overdue at this many mean deviations over the mean ...
+/// An attempt is overdue at this many deviations above the mean latency ...
 const OVERDUE_DEVIATIONS: f64 = 4.0;
 /// ... or at this share of its latency objective, which leaves time for a retry within it.
 const OVERDUE_OBJECTIVE: f64 = 0.6;
-/// One whose endpoint has not answered since counts as late at so many deviations.
+/// An attempt at a silent endpoint counts as late at this many deviations.
 const LATE_DEVIATIONS: f64 = 2.0;
-/// An endpoint without any answer since an attempt was sent counts as silent at this many deviations.
+/// An endpoint counts as silent if it has answered nothing since an attempt that is this late.
 const SILENT_DEVIATIONS: f64 = 6.0;
 const MAX_REPLACED_ATTEMPTS: usize = 3;
 
@@ -64,7 +64,7 @@
         }
         let silent_after = latency.upper(SILENT_DEVIATIONS);
         let endpoint = attempt.endpoint;
-        // A read is not worth the doubt, its time being short; a write has its objective or more to go.
+        // Only writes: the latency of reads varies too much to tell a lost answer from a slow one.
         let may_be_lost = class.idempotency == Idempotency::IdempotencyKey;
         let passed_over_by = self.endpoints[endpoint].latest_served_send_at - attempt.sent_at;
         let is_silent = age > silent_after && self.endpoints[endpoint].is_silent_since(attempt.sent_at);
@@ -72,8 +72,8 @@
         Some(Overdue { request: key, number, endpoint, is_silent, is_lost })
     }
 
-    /// Counts the silence of an endpoint as a failure. A primary has no stand-in: it is ejected once a second
-    /// attempt is late too, since one connection can fall silent by itself.
+    /// Counts the silence of an endpoint as a failure. A primary cannot be replaced, so it is ejected only
+    /// once a second attempt is late too: a single connection may have failed.
     fn count_silence(&mut self, endpoint: EndpointKey, late_attempts: u32) {
         let is_primary = self.endpoints.primary(self.endpoints[endpoint].group) == Some(endpoint);
         let is_one_connection = is_primary && late_attempts < 2;
@@ -85,18 +85,18 @@
         let Some(request) = self.requests.get(overdue.request) else { return false };
         let class = self.class(request.class);
         let counts_late = overdue.is_lost && class.late_weight > 0.0;
-        let has_time = request.worthless_at(counts_late) - self.now > self.latency[request.class].mean;
+        let has_time = request.useful_until(counts_late) - self.now > self.latency[request.class].mean;
         let is_safe = class.idempotency == Idempotency::Idempotent || overdue.is_lost;
         let is_last = request.attempts.len() == overdue.number + 1 && overdue.number < MAX_REPLACED_ATTEMPTS;
         has_time && is_safe && is_last && self.retry_budget.has_token()
     }
 
-    /// Hedges an overdue attempt where two may be in flight; otherwise withdraws it, so that it is retried.
+    /// Hedges an overdue attempt if hedging is allowed; otherwise cancels it, so that it is retried.
     fn replace_attempt(&mut self, overdue: &Overdue) {
         let Some(request) = self.requests.get(overdue.request) else { return };
         let is_hedged = self.settings.hedging && self.class(request.class).consistency != Consistency::Strong;
         if is_hedged && self.may_attempt(request) {
-            // The primary that has a write already will not answer a second time either.
+            // The primary that has lost the write is not sent it again while the first attempt is in flight.
             if let Some(endpoint) = self.route(overdue.request).ok().filter(|to| *to != overdue.endpoint) {
                 self.retry_budget.withdraw();
                 self.send(overdue.request, endpoint);
--- a/src/policy/primary.rs
+++ b/src/policy/primary.rs
@@ -4,13 +4,13 @@
 use crate::interface::{Action, StateChange};
 use crate::state::EndpointKey;
 
-/// Lateness assumed of a list's roles, as a share of the watch gap: what endpoints say is dated exactly.
+/// Assumed age of the roles in the endpoint list, as a share of the watch gap.
 const LISTED_ROLE_AGE: f64 = 0.5;
-/// In flight at a primary up to which queued requests are dispatched: they come as it can take them.
+/// Queued requests are dispatched while the primary has fewer requests in flight than this.
 const MAX_IN_FLIGHT_WHEN_DEQUEUING: u32 = 6;
 
 impl Policy {
-    /// Takes the endpoint with the newest claim as the group's primary; then queued requests move.
+    /// Makes the endpoint with the newest claim the group's primary, and dispatches queued requests.
     pub(super) fn elect_primary(&mut self, group_id: u32) {
         let Some(group) = self.endpoints.groups.get(&group_id) else { return };
         let usable = group.endpoints.iter().copied().filter(|&endpoint| self.accepts_requests(endpoint));
@@ -27,7 +27,7 @@
         self.dispatch_queued(group_id);
     }
 
-    /// Dispatches queued requests: while the primary is busy only those that are late.
+    /// Dispatches queued requests; while the primary is busy, only those that are late.
     fn dispatch_queued(&mut self, group_id: u32) {
         let Some(group) = self.endpoints.groups.get_mut(&group_id) else { return };
         let (primary, queued) = (group.primary, std::mem::take(&mut group.queued));
--- a/src/policy/primary_search.rs
+++ b/src/policy/primary_search.rs
@@ -5,16 +5,16 @@
 use crate::interface::{Action, EndpointId, LoadReport, Outcome};
 use crate::state::{EndpointKey, PendingRequest, RequestKey};
 
-/// Health checks allowed for each request, and saved up at most: every pooler searches at the same moment.
+/// Health-check tokens earned by each request, and their limit: all poolers search at the same moment.
 pub(super) const HEALTH_CHECKS_PER_REQUEST: f64 = 0.3;
 pub(super) const MAX_HEALTH_CHECKS: f64 = 20.0;
-/// While a primary is sought, time between two steps, in multiples of the connect timeout.
+/// Interval between two steps of the search, in multiples of the connect timeout.
 const SEARCH_INTERVAL: f64 = 0.8;
-/// Age at which a local replica's log position is asked for, as a share of the shortest staleness bound.
+/// Age at which a local replica's log position is refreshed, as a share of the shortest staleness bound.
 const REFRESH_AGE: f64 = 0.7;
 
 impl Policy {
-    /// Takes the next step of the search for a group's primary, and hears from silent replicas.
+    /// Continues the search for a group's primary, and refreshes the log positions of its replicas.
     pub(super) fn search_primary(&mut self, group_id: u32) {
         let Some(group) = self.endpoints.groups.get_mut(&group_id) else { return };
         let is_due = group.searching_since.is_some() && self.now >= group.next_search_at;
@@ -35,7 +35,7 @@
         }
     }
 
-    /// Whether a log position is about to be too old for reads, or unknown where no read can find it out.
+    /// Whether a log position is about to be too old for reads, or unknown and no read may find it out.
     fn needs_refresh(&self, endpoint: EndpointKey) -> bool {
         let endpoint = &self.endpoints[endpoint];
         let max_age = self.shortest_staleness * REFRESH_AGE;
@@ -59,16 +59,16 @@
         let Some(endpoint) = self.endpoints.key(id) else { return };
         self.endpoints[endpoint].health_check_in_flight = false;
         match outcome {
-            // No sign of health: it is answered beside the queue, also by an endpoint that hangs.
+            // Not recorded as a success: an endpoint that hangs still answers health checks.
             Outcome::Success => self.endpoints[endpoint].observe(report, false, self.now),
-            // Endpoints limit the health checks that they answer: a rejection tells nothing.
+            // Endpoints limit the rate of health checks: a rejection is no failure.
             Outcome::Overloaded | Outcome::NotSent => {}
             _ => self.record_failure(endpoint, FAILURE),
         }
         self.elect_primary(self.endpoints[endpoint].group);
     }
 
-    /// Without health checks one queued write finds the primary: a rejection proves that it was not executed.
+    /// Searches with a queued write: an endpoint that is not the primary rejects it without executing it.
     fn send_discovery_write(&mut self, group_id: u32) {
         let Some(group) = self.endpoints.groups.get(&group_id) else { return };
         let last_write = group.discovery_write.and_then(|key| self.requests.get(key));
--- a/src/policy/read_routing.rs
+++ b/src/policy/read_routing.rs
@@ -1,4 +1,4 @@
-//! Where reads go: to a fresh replica of the own zone, then of another zone, then to the primary.
+//! Routing of reads: to a fresh replica in the local zone, then in other zones, then to the primary.
 
 use super::outlier_detection::MAX_EJECTION;
 use super::{NoRoute, Policy, Route};
@@ -7,9 +7,9 @@
 
 /// A read leaves its zone at more than this multiple of the load of the idlest remote replica ...
 const EXIT_MULTIPLE: u32 = 2;
-/// ... and at least so many more (design).
+/// ... and at least this many more requests in flight.
 const EXIT_MARGIN: u32 = 3;
-/// Share of its objective up to which a read may overflow onto the primary, whose own work comes first.
+/// Objective share for reads on the primary, which must keep capacity for writes and strong reads.
 const OVERFLOW_SHARE: f64 = 0.35;
 
 /// A read that is to be routed, and what it may use.
@@ -32,7 +32,7 @@
         let admit = |endpoint, share| self.admit(read.request, endpoint, share);
         let route = match self.choose_replica(&read) {
             Some(replica) => admit(replica, 1.0),
-            None => self.choose_hopeful(&read).and_then(|e| admit(e, 1.0).ok()).ok_or(NoRoute::Queue),
+            None => self.choose_possibly_fresh(&read).and_then(|e| admit(e, 1.0).ok()).ok_or(NoRoute::Queue),
         };
         let primary = read.primary.filter(|p| read.untried.contains(p) && self.is_fit(&read, *p));
         let route = route.or_else(|reason| primary.map_or(Err(reason), |p| admit(p, OVERFLOW_SHARE)));
@@ -76,22 +76,22 @@
         is_available && self.slow_start_admits(read.request, endpoint, read.slow_start_share)
     }
 
-    /// Not known to be fresh, but perhaps, where endpoints check reads: as little behind as when last heard,
-    /// or left alone since for as long as it was behind, or never heard.
-    fn is_hopeful(&self, read: &Read, endpoint: EndpointKey) -> bool {
+    /// Whether an endpoint that checks reads may be fresh without this being known: if its lag is unchanged,
+    /// if it has had as much time to catch up as its lag was, or if its position is unknown.
+    fn may_be_fresh(&self, read: &Read, endpoint: EndpointKey) -> bool {
         let endpoint = &self.endpoints[endpoint];
         let lag = endpoint.log_position_at - endpoint.log_position;
         let has_caught_up = self.now - endpoint.log_position_at > lag;
-        let may_be_fresh = self.now - lag >= read.needed || has_caught_up || lag.is_nan();
-        self.settings.stale_reads.is_checked() && may_be_fresh && self.now >= endpoint.stale_until
+        let is_possible = self.now - lag >= read.needed || has_caught_up || lag.is_nan();
+        self.settings.stale_reads.is_checked() && is_possible && self.now >= endpoint.stale_until
     }
 
-    /// A local replica without anything in flight is tried on hope, one read at a time: otherwise its silence
-    /// would keep reads away from it, and their absence its silence.
+    /// A local replica that may be fresh gets one read at a time: without any answer its log position would
+    /// never become known.
     fn is_fresh(&self, read: &Read, endpoint: EndpointKey) -> bool {
         let state = &self.endpoints[endpoint];
         let is_quiet = self.is_local(endpoint) && state.load.in_flight == 0;
-        let is_tried = is_quiet && self.is_hopeful(read, endpoint);
+        let is_tried = is_quiet && self.may_be_fresh(read, endpoint);
         (state.log_position >= read.needed || is_tried) && self.is_fit(read, endpoint)
     }
 
@@ -108,54 +108,54 @@
         let (local, remote): (Vec<_>, Vec<_>) = fresh.into_iter().partition(|e| self.is_local(*e));
         let Some(home) = self.choose_of_two(read, &local) else { return self.choose_of_two(read, &remote) };
         let idlest = remote.into_iter().min_by_key(|endpoint| self.load(*endpoint));
-        Some(idlest.filter(|away| self.leaves(home, *away)).unwrap_or(home))
+        Some(idlest.filter(|away| self.should_leave(home, *away)).unwrap_or(home))
     }
 
-    /// Whether a read leaves one replica for another that is idler (design).
-    fn leaves(&self, here: EndpointKey, there: EndpointKey) -> bool {
+    /// Whether a read leaves one replica for another with less load.
+    fn should_leave(&self, here: EndpointKey, there: EndpointKey) -> bool {
         let (here, there) = (self.load(here), self.load(there));
         here > EXIT_MULTIPLE * there && here >= there + EXIT_MARGIN
     }
 
-    /// The less busy of two that are drawn. A read that any data will do for prefers one that is behind: the
-    /// fresh ones are kept for reads that need them.
+    /// The one with less load of two random replicas. With equal load an eventual read prefers one that is
+    /// behind, which keeps the fresh ones for reads that need them.
     fn choose_of_two(&self, read: &Read, from: &[EndpointKey]) -> Option<EndpointKey> {
-        let drawn = two_of(from.len(), read.draws)?.map(|place| from[place]);
-        drawn.into_iter().min_by_key(|e| (self.load(*e), read.is_eventual && !self.is_behind(*e)))
+        let candidates = two_of(from.len(), read.draws)?.map(|index| from[index]);
+        candidates.into_iter().min_by_key(|e| (self.load(*e), read.is_eventual && !self.is_behind(*e)))
     }
 
-    /// A read so long that it could put its replica behind by holding up the log there goes to the one most
-    /// behind, so that few are held up; from a busy one to the next, as the idlest is idle to catch up.
+    /// A long read can block the log of its replica. Such reads gather on the replica that is most behind,
+    /// and move from a busy one to the next most behind: a replica without load may be catching up.
     fn choose_most_behind(&self, read: &Read, mut fresh: Vec<EndpointKey>) -> EndpointKey {
         let position = |endpoint: &EndpointKey| self.endpoints[*endpoint].log_position;
         fresh.sort_by(|a, b| position(a).total_cmp(&position(b)));
-        let stays = fresh.windows(2).position(|pair| !self.leaves(pair[0], pair[1]));
-        let candidates = &fresh[stays.unwrap_or(fresh.len() - 1)..];
-        // One that cannot answer in time is passed over once: were each asked, all would be held up.
+        let first_kept = fresh.windows(2).position(|pair| !self.should_leave(pair[0], pair[1]));
+        let candidates = &fresh[first_kept.unwrap_or(fresh.len() - 1)..];
+        // Only one more replica is tried, since long reads would delay the log of each of them.
         let is_able = |e: &&EndpointKey| self.admit(read.request, **e, 1.0).is_ok();
         *candidates.iter().take(2).find(is_able).unwrap_or(&candidates[0])
     }
 
-    /// Where endpoints check reads, one that may be fresh is tried: its rejection costs a hop.
-    fn choose_hopeful(&self, read: &Read) -> Option<EndpointKey> {
-        let hopeful = self.replicas(read).filter(|e| self.is_hopeful(read, *e) && self.is_fit(read, *e));
-        hopeful.min_by_key(|endpoint| (!self.is_local(*endpoint), self.load(*endpoint)))
+    /// A replica that may be fresh: if it is not, it rejects the read without executing it.
+    fn choose_possibly_fresh(&self, read: &Read) -> Option<EndpointKey> {
+        let candidates = self.replicas(read).filter(|e| self.may_be_fresh(read, *e) && self.is_fit(read, *e));
+        candidates.min_by_key(|endpoint| (!self.is_local(*endpoint), self.load(*endpoint)))
     }
 
-    /// The last resort: an ejected endpoint that still answers some is better than a rejection; one that
-    /// answers nothing is used only if there is no other. One known to be behind would reject the read.
+    /// The last resort: an ejected endpoint that still answers some requests is better than a rejection. One
+    /// that answers none is used only if there is no healthy one; one known to be behind, never.
     fn choose_ejected(&self, read: &Read) -> Option<EndpointKey> {
         let none_is_healthy = !read.untried.iter().any(|endpoint| self.is_healthy(*endpoint));
         let lately = self.now - self.settings.connect_timeout * MAX_EJECTION;
         let is_usable = |&endpoint: &EndpointKey| {
             let state = &self.endpoints[endpoint];
             let (health, is_primary) = (&state.health, Some(endpoint) == read.primary);
-            let is_able = state.log_position >= read.needed || self.is_hopeful(read, endpoint) || is_primary;
+            let is_fresh = state.log_position >= read.needed || self.may_be_fresh(read, endpoint);
             let answers = state.last_response_at > lately.max(health.connect_failed_at) && !is_primary;
             let failed_lately = self.now - health.connect_failed_at <= self.settings.connect_timeout;
             let is_due = none_is_healthy && !health.trial_in_flight && !failed_lately;
             let is_admitted = self.slow_start_admits(read.request, endpoint, read.slow_start_share);
-            health.ejected && is_able && (is_due || answers) && is_admitted
+            health.ejected && (is_fresh || is_primary) && (is_due || answers) && is_admitted
         };
         let until = |endpoint: EndpointKey| self.endpoints[endpoint].health.ejected_until.max(self.now);
         let cost = |e: &EndpointKey| until(*e) + self.predicted_latency(*e, read.request.class);
--- a/src/policy/results.rs
+++ b/src/policy/results.rs
@@ -5,9 +5,9 @@
 use crate::interface::{Action, AttemptResult, LoadReport, Outcome};
 use crate::state::{Attempt, EndpointKey, RequestKey};
 
-/// An endpoint has room for so many connections at least: fewer poolers cannot fill it with idle ones.
+/// Fewer poolers than this cannot exhaust an endpoint's connections with idle ones.
 const MIN_CONNECTION_LIMIT: u32 = 200;
-/// Highest latency ratio of a single sample: one outlier does not spoil the mean.
+/// Highest latency ratio of a single sample, which limits the influence of outliers.
 const MAX_LATENCY_RATIO: f64 = 10.0;
 
 impl Policy {
@@ -45,33 +45,33 @@
                 self.latency[class].record(result.elapsed, SAMPLE_WEIGHT);
                 self.record_success(endpoint);
             }
-            // It is behind: it is left to catch up for as long as that takes at the least.
+            // A replica that is behind needs at least as long as its lag to catch up.
             Outcome::Ineligible => {
                 let lag = (now - state.log_position).clamp(0.0, self.settings.slow_start_window);
                 state.stale_until = now + lag.max(self.settings.connect_timeout);
             }
-            // It counts as load for a while: an endpoint would look idle for rejecting work.
+            // Counts as load for a while: rejecting requests must not make an endpoint look idle.
             Outcome::Overloaded => state.load.abandoned.push(now + latency.mean),
             Outcome::Error => self.record_failure(endpoint, FAILURE),
             Outcome::ConnectFailed => self.connect_failed(endpoint, attempt, result.elapsed),
-            // Links and single queries break too: where the process died, connects are refused at once.
+            // A small weight: if the process has died, the next connections are refused at once.
             Outcome::ConnectionReset => self.record_failure(endpoint, CONNECTION_RESET),
             Outcome::Timeout | Outcome::Cancelled => {
                 state.load.abandoned.push(now + latency.upper(1.0));
                 if result.outcome == Outcome::Timeout && !attempt.cancelled {
                     state.load.sample_latency_ratio(ratio, SAMPLE_WEIGHT);
-                    // One that answers others meanwhile is crowded, and to eject it would crowd the rest.
+                    // An endpoint that still answers is overloaded; ejecting it would overload the others.
                     if state.is_silent_since(attempt.sent_at) {
                         self.record_failure(endpoint, FAILURE);
                     }
                 }
             }
-            // What a client asked wrongly says nothing of the endpoint's health.
+            // Neither says anything about the health of the endpoint.
             Outcome::NotSent | Outcome::InvalidRequest => {}
         }
     }
 
-    /// Refused at once: the process is down, or its connections are all held, most of them idle.
+    /// A connection refused at once means a dead process or exhausted connections, most of them idle.
     fn connect_failed(&mut self, endpoint: EndpointKey, attempt: &Attempt, elapsed: f64) {
         let timeout = self.settings.connect_timeout;
         let state = &mut self.endpoints[endpoint];
@@ -80,7 +80,7 @@
         if is_refused && self.settings.pooler_count > MIN_CONNECTION_LIMIT {
             self.connections_scarce_until = self.now + self.settings.max_watch_gap;
         }
-        // Of one that has just answered others this may be a single connection.
+        // If the endpoint has just answered other requests, only this connection may have failed.
         let is_dead = is_refused && self.now - state.last_response_at >= timeout;
         if is_refused || !attempt.silence_counted {
             self.record_failure(endpoint, if is_dead { EJECTION_SCORE } else { CONNECTION_LOST });
@@ -101,7 +101,7 @@
         }
         let is_write = self.class(request.class).is_write();
         let may_have_run = !result.outcome.proves_not_executed();
-        // An overloaded primary has no stand-in: a retry would meet the same crowd within milliseconds.
+        // An overloaded primary cannot be replaced: a retry would find it as overloaded.
         let is_primary = self.endpoints.primary(request.group) == Some(endpoint);
         let is_primary_full = is_primary && result.outcome == Outcome::Overloaded;
         if is_primary_full || may_have_run && !self.retry_budget.try_withdraw() {
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -1,13 +1,13 @@
-//! Slow start: what an endpoint that is warming up may be sent.
+//! Slow start: limits the load of endpoints that are warming up.
 
 use super::Policy;
 use crate::state::{EndpointKey, Group, PendingRequest};
 
-/// Share of the reads open to an endpoint that warms up, in multiples of its capacity, at the most ...
+/// Upper limit of the share of reads for an endpoint that is warming up, in multiples of its capacity ...
 const MAX_READ_SHARE: f64 = 1.0;
-/// ... and of its overload limit; the rest is left to chance, since reads differ in what they take.
+/// ... and of its overload limit; the rest is a margin, since reads differ in the work that they take.
 const READ_SHARE_OF_LIMIT: f64 = 0.8;
-/// Share of the overload limit that requests bound to a primary that warms up may use.
+/// Share of the overload limit for requests that need a primary that is warming up.
 const PRIMARY_SHARE_OF_LIMIT: f64 = 0.5;
 
 impl Policy {
@@ -15,8 +15,8 @@
         self.settings.capacity_after(self.now - self.endpoints[endpoint].warming_since)
     }
 
-    /// Whether an endpoint that warms up may have this request, once. Each request's draw admits a share of
-    /// all there are, so that hundreds of poolers with a request now and then keep to it together.
+    /// Whether an endpoint that is warming up may get this request, at most once. The request's sampling draw
+    /// admits a share of all requests, so that hundreds of poolers respect the limit together.
     pub(super) fn slow_start_admits(&self, request: &PendingRequest, to: EndpointKey, share: f64) -> bool {
         let capacity = self.capacity(to);
         capacity >= 1.0 || request.sampling_draw < share * capacity && !request.tried(to)
@@ -26,8 +26,8 @@
         self.settings.overload_limit * PRIMARY_SHARE_OF_LIMIT
     }
 
-    /// Share of a group's reads that an endpoint that warms up may have, in multiples of its capacity. Its
-    /// overload limit is a multiple of that too, which is at least its part of the group's capacity.
+    /// Share of a group's reads for an endpoint that is warming up, in multiples of its capacity: the
+    /// overload limit over the capacity of the group, whose requests the endpoint shares.
     pub(super) fn read_slow_start_share(&self, group: &Group) -> f64 {
         let usable = group.endpoints.iter().copied().filter(|&endpoint| self.accepts_requests(endpoint));
         let group_capacity: f64 = usable.map(|endpoint| self.capacity(endpoint)).sum();
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -25,9 +25,9 @@
     pub listed_primary_at: f64,
     /// What the endpoint itself said of its role.
     pub role: Option<RoleClaim>,
-    /// The highest log position that it told.
+    /// The highest log position that it reported.
     pub log_position: f64,
-    /// When it told that position.
+    /// When it reported that position.
     pub log_position_at: f64,
     /// No read is sent before then in the mere hope that its data is recent enough.
     pub stale_until: f64,
@@ -198,17 +198,17 @@
         }
     }
 
-    /// Takes in what it told of its log position, which never goes back, and of its role. A role in an answer is
-    /// as of now, one in a load report of unknown age as of its log position. The newest claim counts.
-    pub fn observe(&mut self, told: &LoadReport, is_answer: bool, now: f64) {
-        let position = told.log_position.filter(|p| p.is_finite() && *p <= now + CLOCK_TOLERANCE);
+    /// Takes in a reported log position, which never goes back, and a reported role. A role in an answer is as
+    /// of now; one in a load report, whose age is unknown, is as of its log position. The newest claim counts.
+    pub fn observe(&mut self, report: &LoadReport, is_answer: bool, now: f64) {
+        let position = report.log_position.filter(|p| p.is_finite() && *p <= now + CLOCK_TOLERANCE);
         // A claim with a position below the known one was written earlier: it may be no primary by now.
         let is_outdated = position.is_some_and(|p| p < self.log_position);
         if let Some(position) = position.filter(|p| *p > self.log_position) {
             self.log_position = position;
             self.log_position_at = now;
         }
-        let Some(primary) = told.primary.filter(|primary| !primary || !is_outdated) else { return };
+        let Some(primary) = report.primary.filter(|primary| !primary || !is_outdated) else { return };
         let at = if is_answer { now } else { position.unwrap_or(NEVER) };
         if self.role.is_none_or(|known| at >= known.at) {
             self.role = Some(RoleClaim { primary, at });
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -109,8 +109,8 @@
         self.attempts.iter().all(|attempt| attempt.not_sent)
     }
 
-    /// When its answer is of no more use; after its latency objective where late answers earn nothing.
-    pub fn worthless_at(&self, earns_late: bool) -> f64 {
+    /// Until when an answer is useful: the deadline, or the latency objective if late answers earn nothing.
+    pub fn useful_until(&self, earns_late: bool) -> f64 {
         if earns_late {
             self.deadline
         } else {
