--- a/src/adapter/wire.rs
+++ b/src/adapter/wire.rs
@@ -77,7 +77,7 @@
             }
             "openInstance" => {
                 let info = fields.at(2);
-                let settings = pg_pooler::config::settings(&info.to_string())
+                let settings = pg_pooler::config::decode_settings(info)
                     .map_err(|fault| format!("in 'info': {fault}"))?;
                 let base = info["specifics"]["baseTime"].as_f64().unwrap_or(0.0);
                 let seed = fields.at(1);
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,154 @@
+//! The configuration file of the pooler.
+
+mod error;
+mod names;
+mod settings;
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::endpoint_list::EndpointList;
+use crate::json;
+use crate::json::lenient::{self, Number};
+use crate::settings::Settings;
+
+pub use error::{ConfigError, ParseConfigError};
+use names::RawNames;
+use settings::RawSettings;
+pub use settings::{decode_settings, DecodeSettingsError};
+
+/// The name of a pooler whose configuration has none.
+const DEFAULT_NAME: &str = "pg-pooler";
+const DEFAULT_SOCKETS: f64 = 1024.0;
+const DEFAULT_MEMORY_MB: f64 = 192.0;
+const BYTES_PER_MB: f64 = 1e6;
+
+/// The configuration of one pooler.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The pooler's name, for the log.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where service discovery is.
+    pub discovery: SocketAddr,
+    /// Seed for random numbers; new with each start.
+    pub seed: u64,
+    /// Most file descriptors that the process may hold.
+    pub sockets: usize,
+    /// Most memory that the process may take (bytes).
+    pub memory: usize,
+    /// The settings of the policy.
+    pub settings: Settings,
+    /// Names of the classes, in the order of the settings.
+    pub classes: Vec<String>,
+    /// Names of the tenants, in the order of the settings.
+    pub tenants: Vec<String>,
+    /// Names of the zones, in the order of the settings.
+    pub zones: Vec<String>,
+    /// How long a database host keeps an idle connection (seconds).
+    pub keepalive: f64,
+    /// The cached list of database hosts.
+    pub(crate) known: EndpointList,
+}
+
+/// The configuration file in its JSON form.
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct RawConfig {
+    #[serde(deserialize_with = "lenient::value")]
+    name: Option<String>,
+    #[serde(deserialize_with = "lenient::value")]
+    listen: Option<String>,
+    #[serde(deserialize_with = "lenient::value")]
+    discovery: Option<String>,
+    #[serde(deserialize_with = "lenient::value")]
+    seed: Option<String>,
+    #[serde(deserialize_with = "lenient::value")]
+    limits: RawProcessLimits,
+    /// Decoded twice: as settings and as lists of names.
+    settings: Value,
+    /// A cached list that cannot be read counts as empty: discovery has a new one.
+    #[serde(deserialize_with = "lenient::value")]
+    known: EndpointList,
+}
+
+/// The object `limits` of the configuration file.
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct RawProcessLimits {
+    sockets: Number,
+    memory_mb: Number,
+}
+
+impl Config {
+    /// Reads a configuration file.
+    pub fn load(path: &Path) -> Result<Config, ConfigError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| ConfigError::Read { path: path.to_path_buf(), source })?;
+        Config::parse(&text).map_err(|source| ConfigError::Parse { path: path.to_path_buf(), source })
+    }
+
+    /// Decodes the text of a configuration file.
+    pub fn parse(text: &str) -> Result<Config, ParseConfigError> {
+        lenient::or_default::<RawConfig>(json::parse(text)?).decode()
+    }
+}
+
+impl RawConfig {
+    fn decode(self) -> Result<Config, ParseConfigError> {
+        let seed = require_text("seed", self.seed)?;
+        let names: RawNames = lenient::or_default(self.settings.clone());
+        let raw_settings: RawSettings = lenient::or_default(self.settings);
+        let settings = decode_valid_settings(&raw_settings)?;
+        Ok(Config {
+            keepalive: decode_keepalive(&raw_settings)?,
+            name: self.name.unwrap_or_else(|| DEFAULT_NAME.to_string()),
+            listen: decode_address("listen", self.listen)?,
+            discovery: decode_address("discovery", self.discovery)?,
+            seed: decode_seed(seed)?,
+            sockets: self.limits.sockets.or("sockets", DEFAULT_SOCKETS)? as usize,
+            memory: (self.limits.memory_mb.or("memory_mb", DEFAULT_MEMORY_MB)? * BYTES_PER_MB) as usize,
+            settings,
+            classes: names.classes()?,
+            tenants: names.tenants()?,
+            zones: names.zones()?,
+            known: self.known,
+        })
+    }
+}
+
+fn require_text(field: &'static str, text: Option<String>) -> Result<String, ParseConfigError> {
+    text.ok_or(ParseConfigError::NotText { field })
+}
+
+fn decode_address(field: &'static str, text: Option<String>) -> Result<SocketAddr, ParseConfigError> {
+    let text = require_text(field, text)?;
+    text.parse().map_err(|_| ParseConfigError::NotAnAddress { field, text })
+}
+
+fn decode_seed(text: String) -> Result<u64, ParseConfigError> {
+    u64::from_str_radix(&text, 16).map_err(|_| ParseConfigError::SeedNotHexadecimal(text))
+}
+
+fn decode_valid_settings(raw: &RawSettings) -> Result<Settings, ParseConfigError> {
+    let mut settings = raw.decode()?;
+    // Discovery sends nothing unasked over a network, whichever mode the settings name.
+    settings.watch_endpoints = true;
+    crate::settings::validate(&settings)?;
+    Ok(settings)
+}
+
+fn decode_keepalive(raw: &RawSettings) -> Result<f64, ParseConfigError> {
+    let keepalive = raw.keepalive()?;
+    if keepalive > 0.0 && keepalive.is_finite() {
+        return Ok(keepalive);
+    }
+    Err(ParseConfigError::KeepaliveOutOfRange)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/config/settings.rs
@@ -0,0 +1,264 @@
+//! The settings object in its JSON form, and its conversion to [`Settings`].
+//!
+//! This is the one place that knows the names that settings have outside of the program. Unknown fields are
+//! ignored, and absent ones have defaults. A number must be a number; a value of another kind that has the
+//! wrong type reads as absent.
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::json::lenient::{self, NotANumber, Number};
+use crate::json::{self, JsonError};
+use crate::load_report::{LOG_POSITION_FIELD, PRIMARY_FIELD};
+use crate::settings::{
+    Consistency, DeduplicationScope, Idempotency, RequestClass, Settings, StaleReadHandling,
+};
+
+/// Why a settings object cannot be decoded.
+#[derive(Debug, thiserror::Error)]
+pub enum DecodeSettingsError {
+    /// The object is not acceptable as JSON.
+    #[error(transparent)]
+    Json(#[from] JsonError),
+    /// A number has the wrong type.
+    #[error(transparent)]
+    NotANumber(#[from] NotANumber),
+    /// There are no request classes.
+    #[error("'classes' is not an array")]
+    NoClasses,
+    /// There is not exactly one consistency level for each request class.
+    #[error("'classes' and 'consistency' differ in length")]
+    ConsistencyCount,
+}
+
+/// Decodes the settings from the settings object.
+pub fn decode_settings(settings: &Value) -> Result<Settings, DecodeSettingsError> {
+    json::check_depth(settings)?;
+    lenient::or_default::<RawSettings>(settings.clone()).decode()
+}
+
+/// The settings object.
+#[derive(Default, Deserialize)]
+#[serde(default, rename_all = "camelCase")]
+pub(super) struct RawSettings {
+    #[serde(deserialize_with = "lenient::list")]
+    classes: Option<Vec<RawClass>>,
+    #[serde(deserialize_with = "lenient::list")]
+    customers: Option<Vec<RawCustomer>>,
+    over_share_worth: Number,
+    fleet_size: Number,
+    zone: Number,
+    tick: Number,
+    #[serde(deserialize_with = "lenient::value")]
+    load_info: RawLoadInfo,
+    #[serde(deserialize_with = "lenient::value")]
+    registry_mode: Option<String>,
+    #[serde(deserialize_with = "lenient::value")]
+    limits: RawLimits,
+    #[serde(deserialize_with = "lenient::value")]
+    invariants: RawInvariants,
+    #[serde(deserialize_with = "lenient::value")]
+    specifics: RawSpecifics,
+}
+
+/// An entry of `classes`.
+#[derive(Default, Deserialize)]
+#[serde(default, rename_all = "camelCase")]
+struct RawClass {
+    aim: Number,
+    aim_stretch: Number,
+    deadline: Number,
+    dedup_window: Number,
+    late_worth: Number,
+    value: Number,
+    #[serde(deserialize_with = "lenient::value")]
+    effect: Option<String>,
+    #[serde(deserialize_with = "lenient::value")]
+    group: Option<String>,
+}
+
+/// An entry of `customers`.
+#[derive(Default, Deserialize)]
+#[serde(default, rename_all = "camelCase")]
+struct RawCustomer {
+    quota_per_s: Number,
+}
+
+/// The object `loadInfo`: how endpoints report their load.
+#[derive(Default, Deserialize)]
+#[serde(default, rename_all = "camelCase")]
+struct RawLoadInfo {
+    #[serde(deserialize_with = "lenient::value")]
+    how: Option<String>,
+    #[serde(deserialize_with = "lenient::list")]
+    fields: Option<Vec<Option<String>>>,
+}
+
+/// The object `limits`: what the pooler may do.
+#[derive(Default, Deserialize)]
+#[serde(default, rename_all = "camelCase")]
+struct RawLimits {
+    #[serde(deserialize_with = "lenient::value")]
+    probes: bool,
+    #[serde(deserialize_with = "lenient::value")]
+    cancel: bool,
+    #[serde(deserialize_with = "lenient::value")]
+    may_duplicate: bool,
+    #[serde(deserialize_with = "lenient::value")]
+    retry_after: bool,
+    max_attempts: Number,
+    max_retry_after: Number,
+    connect_timeout: Number,
+    keepalive: Number,
+}
+
+/// The object `invariants`: what holds of every endpoint.
+#[derive(Default, Deserialize)]
+#[serde(default, rename_all = "camelCase")]
+struct RawInvariants {
+    ask_within: Number,
+    cold_from: Number,
+    warm_up: Number,
+    tip_multiple: Number,
+    fall: Number,
+    #[serde(deserialize_with = "lenient::value")]
+    gone_is_advice: bool,
+}
+
+/// The object `specifics`: what holds of replicated databases.
+#[derive(Default, Deserialize)]
+#[serde(default, rename_all = "camelCase")]
+struct RawSpecifics {
+    #[serde(deserialize_with = "lenient::list")]
+    consistency: Option<Vec<Option<String>>>,
+    #[serde(deserialize_with = "lenient::list")]
+    staleness_bound: Option<Vec<Option<f64>>>,
+    #[serde(deserialize_with = "lenient::value")]
+    when_behind: Option<String>,
+    wait: Number,
+    #[serde(deserialize_with = "lenient::value")]
+    write_marks: Option<String>,
+}
+
+impl RawSettings {
+    /// How long a database host keeps an idle connection (seconds).
+    pub(super) fn keepalive(&self) -> Result<f64, NotANumber> {
+        self.limits.keepalive.or("keepalive", 15.0)
+    }
+
+    /// Converts the object to settings, of which the ranges are not checked.
+    pub(super) fn decode(&self) -> Result<Settings, DecodeSettingsError> {
+        let (limits, invariants, specifics) = (&self.limits, &self.invariants, &self.specifics);
+        Ok(Settings {
+            classes: self.decode_classes()?,
+            tenant_quota: self.decode_tenant_quotas()?,
+            over_quota_weight: self.over_share_worth.or("overShareWorth", 1.0)?,
+            pooler_count: self.fleet_size.or("fleetSize", 1.0)? as u32,
+            zone: self.zone.or("zone", 0.0)? as u32,
+            tick: self.tick.or("tick", 0.005)?,
+            health_checks: limits.probes && self.load_info.is_useful(),
+            cancellation: limits.cancel,
+            hedging: limits.may_duplicate,
+            max_attempts: limits.max_attempts.or("maxAttempts", 1.0)? as u32,
+            send_retry_after: limits.retry_after,
+            max_retry_after: limits.max_retry_after.or("maxRetryAfter", 0.0)?,
+            connect_timeout: limits.connect_timeout.or("connectTimeout", 0.25)?,
+            watch_endpoints: self.registry_mode.as_deref() == Some("subscribe"),
+            max_watch_gap: invariants.ask_within.or("askWithin", 10.0)?,
+            initial_capacity: invariants.cold_from.or("coldFrom", 1.0)?,
+            slow_start_window: invariants.warm_up.or("warmUp", 0.0)?,
+            overload_limit: invariants.tip_multiple.or("tipMultiple", f64::INFINITY)?,
+            overload_window: invariants.fall.or("fall", 1.0)?,
+            removal_is_advisory: invariants.gone_is_advice,
+            stale_reads: specifics.decode_stale_reads()?,
+            session_tokens_carried: specifics.write_marks.as_deref() == Some("carried"),
+        })
+    }
+
+    /// Joins the classes with their consistency levels, which stand in an array of their own.
+    fn decode_classes(&self) -> Result<Vec<RequestClass>, DecodeSettingsError> {
+        let classes = self.classes.as_deref().ok_or(DecodeSettingsError::NoClasses)?;
+        let levels = self.specifics.consistency.as_deref().unwrap_or_default();
+        if classes.len() != levels.len() {
+            return Err(DecodeSettingsError::ConsistencyCount);
+        }
+        let joined = classes.iter().zip(levels).enumerate();
+        joined
+            .map(|(index, (class, level))| {
+                let staleness_bound = self.specifics.staleness_bound_of(index);
+                Ok(class.decode(decode_consistency(level.as_deref(), staleness_bound))?)
+            })
+            .collect()
+    }
+
+    fn decode_tenant_quotas(&self) -> Result<Vec<f64>, NotANumber> {
+        let customers = self.customers.as_deref().unwrap_or_default();
+        customers.iter().map(|customer| customer.quota_per_s.or("quotaPerS", f64::INFINITY)).collect()
+    }
+}
+
+impl RawClass {
+    fn decode(&self, consistency: Consistency) -> Result<RequestClass, NotANumber> {
+        Ok(RequestClass {
+            latency_objective: self.aim.or("aim", 1.0)?,
+            latency_objective_factor: self.aim_stretch.or("aimStretch", 0.0)?,
+            deadline: self.deadline.or("deadline", 1.0)?,
+            deduplication_window: self.dedup_window.or("dedupWindow", 0.0)?,
+            idempotency: self.decode_idempotency(),
+            deduplication_scope: match self.group.as_deref() {
+                Some("all") => DeduplicationScope::AnyEndpoint,
+                _ => DeduplicationScope::Group,
+            },
+            late_weight: self.late_worth.or("lateWorth", 0.0)?,
+            priority_weight: self.value.or("value", 1.0)?,
+            consistency,
+        })
+    }
+
+    fn decode_idempotency(&self) -> Idempotency {
+        match (self.effect.as_deref(), self.group.as_deref()) {
+            (Some("read_like"), _) => Idempotency::Idempotent,
+            // The policy has no deduplication scope for a zone, so such a request must not be repeated.
+            (Some("idempotency_key"), Some("zone")) => Idempotency::NonIdempotent,
+            (Some("idempotency_key"), _) => Idempotency::IdempotencyKey,
+            _ => Idempotency::NonIdempotent,
+        }
+    }
+}
+
+impl RawLoadInfo {
+    /// Whether the answer to a health check tells a log position or a role. Health checks are of no use
+    /// otherwise.
+    fn is_useful(&self) -> bool {
+        let names_useful_field = |fields: &[Option<String>]| {
+            fields.iter().any(|field| matches!(field.as_deref(), Some(LOG_POSITION_FIELD | PRIMARY_FIELD)))
+        };
+        self.how.as_deref() != Some("silent") && self.fields.as_deref().is_none_or(names_useful_field)
+    }
+}
+
+impl RawSpecifics {
+    /// The staleness bound of a class (seconds); 0 where there is none.
+    fn staleness_bound_of(&self, class: usize) -> f64 {
+        let bounds = self.staleness_bound.as_deref().unwrap_or_default();
+        bounds.get(class).copied().flatten().unwrap_or(0.0)
+    }
+
+    fn decode_stale_reads(&self) -> Result<StaleReadHandling, NotANumber> {
+        match self.when_behind.as_deref() {
+            Some("refuse") => Ok(StaleReadHandling::Reject),
+            Some("wait") => Ok(StaleReadHandling::WaitThenReject(self.wait.or("wait", 0.0)?)),
+            _ => Ok(StaleReadHandling::Serve),
+        }
+    }
+}
+
+fn decode_consistency(level: Option<&str>, staleness_bound: f64) -> Consistency {
+    match level {
+        Some("write") => Consistency::Write,
+        Some("session") => Consistency::Session,
+        Some("bounded") => Consistency::BoundedStaleness(staleness_bound),
+        Some("any") => Consistency::Eventual,
+        _ => Consistency::Strong,
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 mod counters;
 mod endpoint_list;
 pub mod interface;
+mod json;
 mod load_report;
 mod logging;
 mod net;
--- /dev/null
+++ b/src/net/discovery/list_splitter.rs
@@ -0,0 +1,78 @@
+//! Cuts the body of a watch into endpoint lists and heartbeats.
+
+use super::error::WatchError;
+use crate::json::MAX_DEPTH;
+
+/// Longest text of an endpoint list (bytes).
+pub(super) const MAX_LIST_LENGTH: usize = 1024 * 1024;
+
+/// A complete message that was received over a watch.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum Update {
+    /// An empty line: nothing has changed.
+    Heartbeat,
+    /// The JSON text of an endpoint list.
+    List(Vec<u8>),
+}
+
+/// Finds the end of each JSON object in a stream of bytes. An object may extend over many lines.
+#[derive(Default)]
+pub(super) struct ListSplitter {
+    /// The part of the current list that was received so far.
+    list: Vec<u8>,
+    /// How many arrays and objects are open.
+    depth: usize,
+    in_string: bool,
+    /// Whether the next byte follows a backslash in a string.
+    escaped: bool,
+}
+
+impl ListSplitter {
+    /// Whether a list has begun that is not complete yet.
+    pub fn is_inside_list(&self) -> bool {
+        self.depth > 0
+    }
+
+    /// Appends to `updates` each message that `bytes` completes.
+    pub fn push(&mut self, bytes: &[u8], updates: &mut Vec<Update>) -> Result<(), WatchError> {
+        for byte in bytes {
+            if self.is_inside_list() || *byte == b'{' {
+                self.push_list_byte(*byte, updates)?;
+            } else {
+                push_byte_between_lists(*byte, updates)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn push_list_byte(&mut self, byte: u8, updates: &mut Vec<Update>) -> Result<(), WatchError> {
+        self.list.push(byte);
+        self.track_nesting(byte);
+        if self.depth == 0 {
+            updates.push(Update::List(std::mem::take(&mut self.list)));
+        } else if self.depth > MAX_DEPTH || self.list.len() > MAX_LIST_LENGTH {
+            return Err(WatchError::ListTooLarge);
+        }
+        Ok(())
+    }
+
+    fn track_nesting(&mut self, byte: u8) {
+        match byte {
+            _ if self.escaped => self.escaped = false,
+            b'\\' if self.in_string => self.escaped = true,
+            b'"' => self.in_string = !self.in_string,
+            b'{' | b'[' if !self.in_string => self.depth += 1,
+            b'}' | b']' if !self.in_string => self.depth -= 1,
+            _ => {}
+        }
+    }
+}
+
+fn push_byte_between_lists(byte: u8, updates: &mut Vec<Update>) -> Result<(), WatchError> {
+    match byte {
+        b'\n' => updates.push(Update::Heartbeat),
+        b' ' | b'\t' | b'\r' => {}
+        _ => return Err(WatchError::NotAList),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/net/discovery/tests.rs
@@ -0,0 +1,92 @@
+use rstest::rstest;
+
+use super::http_response::ResponseParser;
+use super::list_splitter::{ListSplitter, MAX_LIST_LENGTH};
+use super::*;
+use crate::json::MAX_DEPTH;
+use crate::net::buffer::{RingBuffer, BOUND};
+
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Splits a text that arrives in pieces of the given size.
+fn split(text: &[u8], piece: usize) -> Result<Vec<Update>, WatchError> {
+    let (mut splitter, mut updates) = (ListSplitter::default(), Vec::new());
+    text.chunks(piece).try_for_each(|bytes| splitter.push(bytes, &mut updates))?;
+    assert!(!splitter.is_inside_list());
+    Ok(updates)
+}
+
+/// Parses a response that arrives in pieces of the given size, up to an error or its last byte.
+fn parse(text: &str, piece: usize) -> (Vec<u8>, Result<(), WatchError>) {
+    let mut input = RingBuffer::new(&MemoryBudget::new(BOUND));
+    let (mut parser, mut body) = (ResponseParser::new(), Vec::new());
+    for bytes in text.as_bytes().chunks(piece) {
+        input.push(bytes).unwrap();
+        loop {
+            match parser.next_data(&mut input) {
+                Ok(Some(data)) => body.extend(data),
+                Ok(None) => break,
+                Err(error) => return (body, Err(error)),
+            }
+        }
+    }
+    (body, Ok(()))
+}
+
+#[rstest]
+fn lists_and_heartbeats_are_separated(#[values(1, 3, 1000)] piece: usize) {
+    let first = br#"{"a":"}\"{",
+        "b":[{}]}"#;
+    let text = [b"\r\n \t", &first[..], b"{}\n\n"].concat();
+    let expected = [
+        Update::Heartbeat,
+        Update::List(first.to_vec()),
+        Update::List(b"{}".to_vec()),
+        Update::Heartbeat,
+        Update::Heartbeat,
+    ];
+    assert_eq!(split(&text, piece).unwrap(), expected);
+}
+
+#[test]
+fn other_text_between_lists_is_rejected() {
+    assert_eq!(split(b"{} x", 1), Err(WatchError::NotAList));
+    assert_eq!(split(b"[]", 1), Err(WatchError::NotAList));
+}
+
+#[test]
+fn the_depth_and_the_length_of_a_list_are_bounded() {
+    let nested = |depth: usize| [b"{\"a\":".repeat(depth), b"}".repeat(depth)].concat();
+    assert_eq!(split(&nested(MAX_DEPTH), 1000).unwrap().len(), 1);
+    assert_eq!(split(&nested(MAX_DEPTH + 1), 1000), Err(WatchError::ListTooLarge));
+    let long = |length: usize| [b"{\"", &b"a".repeat(length - 4)[..], b"\"}"].concat();
+    assert_eq!(split(&long(MAX_LIST_LENGTH + 1), 1000).unwrap().len(), 1);
+    assert_eq!(split(&long(MAX_LIST_LENGTH + 2), 1000), Err(WatchError::ListTooLarge));
+}
+
+#[rstest]
+fn a_chunked_body_is_extracted(#[values(1, 7, 1000)] piece: usize) {
+    let text = format!("{CHUNKED}3\r\nabc\r\nA;odd=1\r\n0123456789\r\n");
+    assert_eq!(parse(&text, piece), (b"abc0123456789".to_vec(), Ok(())));
+    assert_eq!(parse(&(text + "0\r\n\r\n"), piece), (b"abc0123456789".to_vec(), Err(WatchError::Ended)));
+}
+
+#[test]
+fn a_body_without_a_length_does_not_end() {
+    assert_eq!(parse("HTTP/1.1 200 OK\r\n\r\n3\r\nabc", 4), (b"3\r\nabc".to_vec(), Ok(())));
+}
+
+#[rstest]
+#[case::not_http("SSH-2.0-x\r\n\r\n".to_string(), WatchError::NotHttp)]
+#[case::a_long_head(format!("HTTP/1.1 200 OK\r\nA: {}", "a".repeat(8 * 1024)), WatchError::NotHttp)]
+#[case::many_headers(format!("HTTP/1.1 200 OK\r\n{}\r\n", "A: a\r\n".repeat(33)), WatchError::NotHttp)]
+#[case::another_status("HTTP/1.1 404 Not Found\r\nTransfer-Encoding: chunked\r\n\r\n".to_string(), WatchError::Rejected)]
+#[case::a_length("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n".to_string(), WatchError::Rejected)]
+#[case::another_coding("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n".to_string(), WatchError::Rejected)]
+#[case::no_chunk_size(format!("{CHUNKED}x\r\n"), WatchError::MalformedChunk)]
+#[case::a_long_chunk_size(format!("{CHUNKED}1;{}", "a".repeat(256)), WatchError::MalformedChunk)]
+#[case::no_line_end_after_a_chunk(format!("{CHUNKED}1\r\nabc"), WatchError::MalformedChunk)]
+fn a_malformed_response_is_rejected(#[case] text: String, #[case] error: WatchError) {
+    assert_eq!(parse(&text, 1000).1, Err(error));
+    assert_eq!(parse(&text, 1).1, Err(error));
+}
--- /dev/null
+++ b/src/net/discovery/watch.rs
@@ -0,0 +1,117 @@
+//! One watch on the endpoint list: an HTTP request whose response does not end.
+
+use std::net::SocketAddr;
+
+use mio::net::TcpStream;
+
+use super::error::WatchError;
+use super::http_response::ResponseParser;
+use super::list_splitter::{ListSplitter, Update};
+use crate::net::buffer::{CapacityExceeded, MemoryBudget, ReadStatus, RingBuffer};
+
+const PATH: &str = "/catalog/members";
+
+// What happens to the endpoints counts as known to the pooler 6 s after a watch has stopped working. The timeouts
+// leave time for another watch before that.
+
+/// A watch on which nothing is received for this time is closed (seconds). A heartbeat is due every 2 s.
+const SILENCE_TIMEOUT: f64 = 2.8;
+/// A watch whose response has not begun after this time is closed (seconds). Its head is sent at once.
+pub(super) const RESPONSE_HEAD_TIMEOUT: f64 = 1.0;
+/// A watch on which a list has begun and is not complete after this time is closed (seconds).
+const LIST_TIMEOUT: f64 = 2.8;
+
+/// The connection of a watch.
+pub(super) struct Watch {
+    pub stream: TcpStream,
+    input: RingBuffer,
+    output: RingBuffer,
+    response: ResponseParser,
+    splitter: ListSplitter,
+    /// Whether a list or a heartbeat has been received.
+    pub answered: bool,
+    /// When anything was last received, or the watch was opened.
+    last_received_at: f64,
+    /// When the list began that is not complete yet.
+    list_started_at: Option<f64>,
+}
+
+impl Watch {
+    /// A watch whose request has not been sent yet.
+    pub fn new(stream: TcpStream, budget: &MemoryBudget, now: f64) -> Watch {
+        Watch {
+            stream,
+            input: RingBuffer::new(budget),
+            output: RingBuffer::new(budget),
+            response: ResponseParser::new(),
+            splitter: ListSplitter::default(),
+            answered: false,
+            last_received_at: now,
+            list_started_at: None,
+        }
+    }
+
+    /// Puts the request for all changes since version `index` of the list into the output buffer.
+    pub fn request_changes(&mut self, index: u64, host: SocketAddr) -> Result<(), CapacityExceeded> {
+        let request = format!(
+            "GET {PATH}?follow=1&since={index} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
+        );
+        self.output.push(request.as_bytes())
+    }
+
+    /// When the watch has to be closed if nothing more is received until then.
+    pub fn deadline(&self) -> f64 {
+        if !self.response.has_head() {
+            return self.last_received_at + RESPONSE_HEAD_TIMEOUT;
+        }
+        let list_deadline = self.list_started_at.map_or(f64::INFINITY, |start| start + LIST_TIMEOUT);
+        list_deadline.min(self.last_received_at + SILENCE_TIMEOUT)
+    }
+
+    /// Reads and writes until the socket would block. Appends to `updates` what was received, also where an
+    /// error follows it.
+    pub fn poll(&mut self, now: f64, updates: &mut Vec<Update>) -> Result<(), WatchError> {
+        let received_before = self.input.total_received();
+        let result = self.transfer(updates);
+        if self.response.has_head() && self.input.total_received() > received_before {
+            self.last_received_at = now;
+        }
+        if !self.splitter.is_inside_list() {
+            self.list_started_at = None;
+        } else if self.list_started_at.is_none() || !updates.is_empty() {
+            self.list_started_at = Some(now);
+        }
+        result
+    }
+
+    fn transfer(&mut self, updates: &mut Vec<Update>) -> Result<(), WatchError> {
+        if self.stream.peer_addr().is_err() {
+            return match self.stream.take_error() {
+                // The connection is still being established.
+                Ok(None) => Ok(()),
+                _ => Err(WatchError::NotConnected),
+            };
+        }
+        self.output.write_to(&mut self.stream).map_err(|_| WatchError::ConnectionBroken)?;
+        loop {
+            let status = self.input.read_from(&mut self.stream).map_err(|_| WatchError::ConnectionBroken)?;
+            let length_before = self.input.len();
+            self.parse_input(updates)?;
+            match status {
+                ReadStatus::EndOfStream => return Err(WatchError::Ended),
+                ReadStatus::WouldBlock => return Ok(()),
+                ReadStatus::Full if self.input.len() == length_before => {
+                    return Err(WatchError::ResponseTooLong);
+                }
+                ReadStatus::Full => {}
+            }
+        }
+    }
+
+    fn parse_input(&mut self, updates: &mut Vec<Update>) -> Result<(), WatchError> {
+        while let Some(data) = self.response.next_data(&mut self.input)? {
+            self.splitter.push(&data, updates)?;
+        }
+        Ok(())
+    }
+}
