--- a/src/adapter/main.rs
+++ b/src/adapter/main.rs
@@ -1,42 +1,51 @@
-//! Runs pg-pooler instances on the simulator's wire: lines in, lines out, one flush a batch.
+//! Runs instances of the policy in a simulator: reads lines from standard input, and writes the reply to each
+//! batch of lines to standard output.
 #![forbid(unsafe_code)]
 
-mod wire;
+mod decode;
+mod encode;
+mod error;
+mod fields;
+mod host;
 
-use std::io::{self, BufRead, Write};
+use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 
+use host::{BatchStatus, Host};
+
+const EXIT_FAILURE: u8 = 2;
+
 fn main() -> ExitCode {
-    let mut host = wire::Host::default();
+    let mut host = Host::default();
     let mut input = io::stdin().lock();
-    let mut output = io::BufWriter::new(io::stdout().lock());
+    let mut output = BufWriter::new(io::stdout().lock());
     let mut line = Vec::new();
-    let mut number = 0u64;
+    let mut line_number = 0u64;
     loop {
         line.clear();
-        number += 1;
+        line_number += 1;
         match input.read_until(b'\n', &mut line) {
             Ok(0) => return ExitCode::SUCCESS,
             Ok(_) => {}
-            Err(error) => {
-                eprintln!("pg-pooler-sim-adapter: line {number}: cannot read: {error}");
-                return ExitCode::from(2);
-            }
+            Err(error) => return fail(line_number, &format_args!("cannot read: {error}")),
         }
         if line.iter().all(u8::is_ascii_whitespace) {
             continue;
         }
-        match host.line(&line, &mut output) {
-            Ok(false) => {}
-            Ok(true) => {
+        match host.handle_line(&line, &mut output) {
+            Ok(BatchStatus::Open) => {}
+            Ok(BatchStatus::Replied) => {
+                // The simulator has ended where it no longer reads.
                 if output.flush().is_err() {
                     return ExitCode::SUCCESS;
                 }
             }
-            Err(message) => {
-                eprintln!("pg-pooler-sim-adapter: line {number}: {message}");
-                return ExitCode::from(2);
-            }
+            Err(error) => return fail(line_number, &error),
         }
     }
 }
+
+fn fail(line_number: u64, error: &dyn std::fmt::Display) -> ExitCode {
+    eprintln!("pg-pooler-sim-adapter: line {line_number}: {error}");
+    ExitCode::from(EXIT_FAILURE)
+}
