--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -4,7 +4,7 @@
 use super::list_splitter::{ListSplitter, MAX_LIST_LENGTH};
 use super::*;
 use crate::json::MAX_DEPTH;
-use crate::net::buffer::{RingBuffer, BOUND};
+use crate::net::buffer::{RingBuffer, MAX_BUFFER_SIZE};
 
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -18,7 +18,7 @@
 
 /// Parses a response that arrives in pieces of the given size, up to an error or its last byte.
 fn parse(text: &str, piece: usize) -> (Vec<u8>, Result<(), WatchError>) {
-    let mut input = RingBuffer::new(&MemoryBudget::new(BOUND));
+    let mut input = RingBuffer::new(&MemoryBudget::new(MAX_BUFFER_SIZE));
     let (mut parser, mut body) = (ResponseParser::new(), Vec::new());
     for bytes in text.as_bytes().chunks(piece) {
         input.push(bytes).unwrap();
