--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,8 @@
-//! pg-pooler is a pooler that decides where each read and write of a replicated database goes, and sends it
-//! there. [`cli`] runs it; the network code behind that is private.
+//! pg-pooler is a connection pooler for replicated databases. It decides where each read and write goes, and
+//! sends it there. [`cli`] runs the program; the network code behind it is private.
 //!
-//! [`Policy`] takes every decision; [`interface`] holds the types it speaks in. A proxy feeds it
-//! events and carries out the actions it gets back:
+//! [`Policy`] makes every decision; [`interface`] holds the types of its events and actions. The program that
+//! hosts a policy passes events to it and carries out the actions that it gets back:
 //!
 //! ```
 //! use pg_pooler::interface::{Action, Endpoint, EndpointStatus, Event, UpdateKind};
