--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -15,6 +15,8 @@
 use crate::json::lenient::{self, Number};
 use crate::settings::Settings;
 
+pub use crate::json::lenient::NotANumber;
+pub use crate::json::JsonError;
 pub use error::{ConfigError, ParseConfigError};
 use names::RawNames;
 use settings::RawSettings;
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -262,3 +262,6 @@
         _ => Consistency::Strong,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -128,7 +128,7 @@
         std::mem::replace(&mut watch.answered, true)
     }
 
-    /// Closes the watch if nothing was received for too long. A connection that is cut off stays open otherwise.
+    /// Closes the watch if nothing was received for too long. The connection may be cut off and look open.
     pub fn timer_expired(&mut self, id: ConnectionId, context: &mut Context) {
         // Bytes that have arrived count, although the event for them was not handled yet.
         self.ready(id, context);
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -11,8 +11,8 @@
 
 const PATH: &str = "/catalog/members";
 
-// What happens to the endpoints counts as known to the pooler 6 s after a watch has stopped working. The timeouts
-// leave time for another watch before that.
+// A change of the endpoint list must have reached the pooler 6 s after it happened, also where a watch has
+// stopped working. These timeouts leave time to open another watch.
 
 /// A watch on which nothing is received for this time is closed (seconds). A heartbeat is due every 2 s.
 const SILENCE_TIMEOUT: f64 = 2.8;
