--- a/src/policy/results.rs
+++ b/src/policy/results.rs
@@ -57,7 +57,7 @@
             // A small weight: if the process has died, the next connections are refused at once.
             Outcome::ConnectionReset => self.record_failure(endpoint, CONNECTION_RESET),
             Outcome::Timeout | Outcome::Cancelled => {
-                state.load.abandoned.push(now + latency.upper(1.0));
+                state.load.abandoned.push(now + latency.mean + latency.deviation);
                 if result.outcome == Outcome::Timeout && !attempt.cancelled {
                     state.load.sample_latency_ratio(ratio, SAMPLE_WEIGHT);
                     // An endpoint that still answers is overloaded; ejecting it would overload the others.
