--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -54,8 +54,7 @@
         own * if request.over_quota { self.settings.over_quota_weight } else { 1.0 }
     }
 
-    /// Some requests are admitted whatever the prediction, so that the estimates can recover. Their number is
-    /// divided among all poolers, which together would overload the endpoint otherwise.
+    /// Some requests are admitted whatever the prediction, so that estimates can recover: few per pooler.
     fn always_admits(&self, endpoint: EndpointKey, predicted: f64) -> bool {
         let load = &self.endpoints[endpoint].load;
         let own_share = ALWAYS_ADMITTED / f64::from(self.settings.pooler_count);
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -1,6 +1,7 @@
 //! The life cycle of a request: receipt, attempts, idempotency, deadline.
 
 use super::primary_search::HEALTH_CHECKS_PER_REQUEST;
+use super::slow_start::PRIMARY_SHARE_OF_LIMIT;
 use super::{NoRoute, Policy, Route, SAMPLE_WEIGHT};
 use crate::interface::{Action, Request};
 use crate::state::{Attempt, EndpointKey, PendingRequest, RequestKey};
@@ -93,7 +94,7 @@
         if self.trial_due(primary) {
             return Ok(primary);
         }
-        let share = self.primary_slow_start_share();
+        let share = self.settings.overload_limit * PRIMARY_SHARE_OF_LIMIT;
         if !self.is_healthy(primary) || !self.slow_start_admits(request, primary, share) {
             return Err(NoRoute::Queue);
         }
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -2,7 +2,7 @@
 
 use super::Policy;
 use crate::interface::{Action, Endpoint, EndpointStatus, StateChange, UpdateKind};
-use crate::state::EndpointKey;
+use crate::state::{EndpointKey, Group};
 
 /// Longest mean backoff between calls (seconds): the list must be current 6 s after discovery is back.
 const MAX_WATCH_BACKOFF: f64 = 0.8;
@@ -46,6 +46,10 @@
         }
     }
 
+    pub(super) fn usable_endpoints<'a>(&'a self, group: &'a Group) -> impl Iterator<Item = EndpointKey> + 'a {
+        group.endpoints.iter().copied().filter(|endpoint| self.accepts_requests(*endpoint))
+    }
+
     /// Whether new requests may be sent to an endpoint. A drain is binding as soon as it is announced.
     pub(super) fn accepts_requests(&self, endpoint: EndpointKey) -> bool {
         let endpoint = &self.endpoints[endpoint];
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,5 +1,4 @@
-//! Every decision of the pooler: where each request goes, and when it is rejected or given up.
-//! Its events and actions are in `src/interface`, the data that it keeps in `src/state`.
+//! Every decision of the pooler. Its events and actions are in `src/interface`, its data in `src/state`.
 
 mod admission;
 mod attempts;
@@ -14,7 +13,7 @@
 mod slow_start;
 
 use crate::interface::{Action, Event};
-use crate::settings::{validate, RequestClass, Settings, SettingsError};
+use crate::settings::{validate, Settings, SettingsError};
 pub use crate::state::Policy;
 use crate::state::{EndpointKey, LatencyEstimator, TokenBucket};
 
@@ -87,8 +86,4 @@
             self.elect_primary(group);
         }
     }
-
-    fn class(&self, class: usize) -> &RequestClass {
-        &self.settings.classes[class]
-    }
 }
--- a/src/policy/outlier_detection.rs
+++ b/src/policy/outlier_detection.rs
@@ -31,8 +31,7 @@
         if health.failure_score < EJECTION_SCORE || health.ejected && now < health.ejected_until {
             return;
         }
-        // After a relapse the duration keeps growing: one successful trial does not clear an endpoint that
-        // fails intermittently, and which attracts requests because failures leave it idle.
+        // One successful trial does not clear an endpoint that fails now and then: a relapse lasts longer.
         let is_relapse = health.ejected || now - health.reinstated_at < unit * MAX_EJECTION;
         let earlier = if is_relapse { health.consecutive_ejections } else { 0 };
         health.consecutive_ejections = (earlier + 1).min(MAX_COUNTED_EJECTIONS);
--- a/src/policy/overdue.rs
+++ b/src/policy/overdue.rs
@@ -44,15 +44,10 @@
 
     /// For each endpoint, how many attempts are late of those sent since its last answer.
     fn count_late_attempts(&self) -> Vec<u32> {
-        let mut counts = vec![0; self.endpoints.slots()];
-        for (_, request, _, attempt) in self.requests.attempts_in_flight() {
-            let late_after = self.latency[request.class].upper(LATE_DEVIATIONS);
-            let is_silent = self.endpoints[attempt.endpoint].is_silent_since(attempt.sent_at);
-            if is_silent && self.now - attempt.sent_at > late_after {
-                counts[attempt.endpoint] += 1;
-            }
-        }
-        counts
+        self.requests.count_by_endpoint(self.endpoints.slots(), |(_, request, _, attempt)| {
+            let is_late = self.now - attempt.sent_at > self.latency[request.class].upper(LATE_DEVIATIONS);
+            is_late && self.endpoints[attempt.endpoint].is_silent_since(attempt.sent_at)
+        })
     }
 
     fn overdue(&self, (key, request, number, attempt): AttemptInFlight) -> Option<Overdue> {
--- a/src/policy/primary.rs
+++ b/src/policy/primary.rs
@@ -1,21 +1,52 @@
 //! Which endpoint is a group's primary, by dated claims, and the requests that wait for it.
 
 use super::Policy;
-use crate::interface::{Action, StateChange};
-use crate::state::EndpointKey;
+use crate::interface::{Action, LoadReport, StateChange};
+use crate::state::{EndpointKey, EndpointState, RoleClaim};
 
 /// Assumed age of the roles in the endpoint list, as a share of the watch gap.
 const LISTED_ROLE_AGE: f64 = 0.5;
 /// Queued requests are dispatched while the primary has fewer requests in flight than this.
 const MAX_IN_FLIGHT_WHEN_DEQUEUING: u32 = 6;
+/// How far a log position may lie in the future, for the sake of rounding (seconds).
+const CLOCK_TOLERANCE: f64 = 0.001;
+
+impl EndpointState {
+    /// Takes in a reported log position, which never goes back, and a reported role. A role in an answer is
+    /// as of now; one in a load report, whose age is unknown, is as of its log position.
+    pub(crate) fn observe(&mut self, report: &LoadReport, is_answer: bool, now: f64) {
+        let position = report.log_position.filter(|p| p.is_finite() && *p <= now + CLOCK_TOLERANCE);
+        // A claim with a position below the known one was written earlier: it may be no primary by now.
+        let is_outdated = position.is_some_and(|p| p < self.log_position);
+        if let Some(position) = position.filter(|p| *p > self.log_position) {
+            self.log_position = position;
+            self.log_position_at = now;
+        }
+        let Some(primary) = report.primary.filter(|primary| !primary || !is_outdated) else { return };
+        let at = if is_answer { now } else { position.unwrap_or(f64::NEG_INFINITY) };
+        if self.role.is_none_or(|known| at >= known.at) {
+            self.role = Some(RoleClaim { primary, at });
+        }
+    }
+
+    /// Date of the newest claim that it is the primary, by itself or by a list with roles of that age.
+    pub(crate) fn primary_claim(&self, list_age: f64) -> Option<f64> {
+        let listed = self.listed_primary.then_some(self.listed_primary_at - list_age);
+        match self.role {
+            Some(RoleClaim { primary: true, at }) => Some(listed.map_or(at, |listed| listed.max(at))),
+            Some(RoleClaim { primary: false, at }) => listed.filter(|listed| *listed > at),
+            None => listed,
+        }
+    }
+}
 
 impl Policy {
     /// Makes the endpoint with the newest claim the group's primary, and dispatches queued requests.
     pub(super) fn elect_primary(&mut self, group_id: u32) {
         let Some(group) = self.endpoints.groups.get(&group_id) else { return };
-        let usable = group.endpoints.iter().copied().filter(|&endpoint| self.accepts_requests(endpoint));
         let list_age = self.settings.max_watch_gap * LISTED_ROLE_AGE;
-        let claims = usable.filter_map(|e| Some((self.endpoints[e].primary_claim(list_age)?, e)));
+        let claim = |e: EndpointKey| Some((self.endpoints[e].primary_claim(list_age)?, e));
+        let claims = self.usable_endpoints(group).filter_map(claim);
         let primary = claims.max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, endpoint)| endpoint);
         if primary != group.primary {
             let primary = primary.map(|endpoint| self.endpoints[endpoint].id.clone());
--- a/src/policy/primary_search.rs
+++ b/src/policy/primary_search.rs
@@ -1,6 +1,7 @@
 //! The search for a lost primary, and health checks of replicas that were silent.
 
 use super::outlier_detection::{FAILURE, MAX_EJECTION};
+use super::slow_start::PRIMARY_SHARE_OF_LIMIT;
 use super::Policy;
 use crate::interface::{Action, EndpointId, LoadReport, Outcome};
 use crate::state::{EndpointKey, PendingRequest, RequestKey};
@@ -82,7 +83,7 @@
         };
         let write = |key: &RequestKey| Some((*key, self.requests.get(*key).filter(is_unsent_write)?));
         let Some((key, request)) = group.queued.iter().find_map(write) else { return };
-        let share = self.primary_slow_start_share();
+        let share = self.settings.overload_limit * PRIMARY_SHARE_OF_LIMIT;
         let is_candidate = |&endpoint: &EndpointKey| {
             let is_usable = self.accepts_requests(endpoint) && self.is_healthy(endpoint);
             is_usable && !request.tried(endpoint) && self.slow_start_admits(request, endpoint, share)
--- a/src/policy/read_routing.rs
+++ b/src/policy/read_routing.rs
@@ -16,7 +16,6 @@
 struct Read<'a> {
     request: &'a PendingRequest,
     is_eventual: bool,
-    /// The log position that it has to see.
     needed: f64,
     slow_start_share: f64,
     draws: (usize, usize),
@@ -47,7 +46,6 @@
         let request = self.requests.get(key)?;
         let group = self.endpoints.groups.get(&request.group)?;
         let consistency = self.class(request.class).consistency;
-        let is_untried = |e: &EndpointKey| self.accepts_requests(*e) && !request.tried(*e);
         Some(Read {
             request,
             is_eventual: consistency == Consistency::Eventual,
@@ -55,7 +53,7 @@
             slow_start_share: self.read_slow_start_share(group),
             draws,
             primary: group.primary,
-            untried: group.endpoints.iter().copied().filter(is_untried).collect(),
+            untried: self.usable_endpoints(group).filter(|endpoint| !request.tried(*endpoint)).collect(),
         })
     }
 
@@ -63,14 +61,6 @@
         read.untried.iter().copied().filter(|endpoint| Some(*endpoint) != read.primary)
     }
 
-    fn load(&self, endpoint: EndpointKey) -> u32 {
-        self.endpoints[endpoint].load.total(self.now)
-    }
-
-    fn is_local(&self, endpoint: EndpointKey) -> bool {
-        self.endpoints[endpoint].zone == self.settings.zone
-    }
-
     fn is_fit(&self, read: &Read, endpoint: EndpointKey) -> bool {
         let is_available = self.is_healthy(endpoint) || self.trial_due(endpoint);
         is_available && self.slow_start_admits(read.request, endpoint, read.slow_start_share)
@@ -86,8 +76,7 @@
         self.settings.stale_reads.is_checked() && is_possible && self.now >= endpoint.stale_until
     }
 
-    /// A local replica that may be fresh gets one read at a time: without any answer its log position would
-    /// never become known.
+    /// A local replica that may be fresh gets one read at a time, so that its log position becomes known.
     fn is_fresh(&self, read: &Read, endpoint: EndpointKey) -> bool {
         let state = &self.endpoints[endpoint];
         let is_quiet = self.is_local(endpoint) && state.load.in_flight == 0;
@@ -117,8 +106,7 @@
         here > EXIT_MULTIPLE * there && here >= there + EXIT_MARGIN
     }
 
-    /// The one with less load of two random replicas. With equal load an eventual read prefers one that is
-    /// behind, which keeps the fresh ones for reads that need them.
+    /// The less loaded of two random replicas; on a tie, an eventual read leaves the fresh one to others.
     fn choose_of_two(&self, read: &Read, from: &[EndpointKey]) -> Option<EndpointKey> {
         let candidates = two_of(from.len(), read.draws)?.map(|index| from[index]);
         candidates.into_iter().min_by_key(|e| (self.load(*e), read.is_eventual && !self.is_behind(*e)))
--- a/src/policy/results.rs
+++ b/src/policy/results.rs
@@ -16,23 +16,20 @@
         let answer = LoadReport { log_position: result.log_position, primary: result.primary };
         self.endpoints[endpoint].observe(&answer, true, self.now);
         self.endpoints[endpoint].observe(&result.report, false, self.now);
-        if let Some(key) = self.requests.key(&result.id) {
-            self.process_result(key, endpoint, result);
+        if let Some((key, attempt)) = self.requests.close_attempt(result) {
+            self.record_result(key, &attempt, result);
+            let state = &self.endpoints[endpoint];
+            if self.now < self.connections_scarce_until && state.load.in_flight == 0 {
+                self.actions.push(Action::CloseIdleConnections { endpoint: state.id.clone() });
+            }
+            self.remember_write(key, result);
+            self.finish_or_retry(key, endpoint, result);
         }
         self.elect_primary(self.endpoints[endpoint].group);
     }
 
-    fn process_result(&mut self, key: RequestKey, endpoint: EndpointKey, result: &AttemptResult) {
-        let Some(request) = self.requests.get_mut(key) else { return };
-        let class = request.class;
-        let Some(attempt) = request.close_attempt(result.attempt, result.outcome) else { return };
-        self.record_result(class, &attempt, result);
-        self.spare_connections(endpoint);
-        self.remember_write(key, result);
-        self.finish_or_retry(key, endpoint, result);
-    }
-
-    fn record_result(&mut self, class: usize, attempt: &Attempt, result: &AttemptResult) {
+    fn record_result(&mut self, key: RequestKey, attempt: &Attempt, result: &AttemptResult) {
+        let Some(class) = self.requests.get(key).map(|request| request.class) else { return };
         let endpoint = attempt.endpoint;
         let (now, latency) = (self.now, self.latency[class]);
         let ratio = (result.elapsed / latency.mean).min(MAX_LATENCY_RATIO);
@@ -66,7 +63,6 @@
                     }
                 }
             }
-            // Neither says anything about the health of the endpoint.
             Outcome::NotSent | Outcome::InvalidRequest => {}
         }
     }
@@ -87,13 +83,6 @@
         }
     }
 
-    fn spare_connections(&mut self, endpoint: EndpointKey) {
-        let endpoint = &self.endpoints[endpoint];
-        if self.now < self.connections_scarce_until && endpoint.load.in_flight == 0 {
-            self.actions.push(Action::CloseIdleConnections { endpoint: endpoint.id.clone() });
-        }
-    }
-
     fn finish_or_retry(&mut self, key: RequestKey, endpoint: EndpointKey, result: &AttemptResult) {
         let Some(request) = self.requests.get(key) else { return };
         if result.request_finished || request.finished {
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -8,7 +8,7 @@
 /// ... and of its overload limit; the rest is a margin, since reads differ in the work that they take.
 const READ_SHARE_OF_LIMIT: f64 = 0.8;
 /// Share of the overload limit for requests that need a primary that is warming up.
-const PRIMARY_SHARE_OF_LIMIT: f64 = 0.5;
+pub(super) const PRIMARY_SHARE_OF_LIMIT: f64 = 0.5;
 
 impl Policy {
     fn capacity(&self, endpoint: EndpointKey) -> f64 {
@@ -22,15 +22,9 @@
         capacity >= 1.0 || request.sampling_draw < share * capacity && !request.tried(to)
     }
 
-    pub(super) fn primary_slow_start_share(&self) -> f64 {
-        self.settings.overload_limit * PRIMARY_SHARE_OF_LIMIT
-    }
-
-    /// Share of a group's reads for an endpoint that is warming up, in multiples of its capacity: the
-    /// overload limit over the capacity of the group, whose requests the endpoint shares.
+    /// Share of a group's reads, in multiples of an endpoint's capacity: its limit over the group's capacity.
     pub(super) fn read_slow_start_share(&self, group: &Group) -> f64 {
-        let usable = group.endpoints.iter().copied().filter(|&endpoint| self.accepts_requests(endpoint));
-        let group_capacity: f64 = usable.map(|endpoint| self.capacity(endpoint)).sum();
+        let group_capacity: f64 = self.usable_endpoints(group).map(|endpoint| self.capacity(endpoint)).sum();
         let reads = group_capacity.max(1.0) * self.read_share;
         (self.settings.overload_limit * READ_SHARE_OF_LIMIT / reads).min(MAX_READ_SHARE)
     }
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -1,10 +1,8 @@
 //! An endpoint, as far as this pooler knows it.
 
-use crate::interface::{Endpoint, EndpointId, EndpointStatus, LoadReport, Outcome, UpdateKind};
+use crate::interface::{Endpoint, EndpointId, EndpointStatus, Outcome, UpdateKind};
 
 const NEVER: f64 = f64::NEG_INFINITY;
-/// How far a log position may lie in the future for the sake of rounding (seconds).
-const CLOCK_TOLERANCE: f64 = 0.001;
 
 /// Everything that is known of one endpoint.
 #[derive(Default)]
@@ -186,32 +184,4 @@
             self.last_response_at = now;
         }
     }
-
-    /// Date of the newest claim that it is the primary: by itself, or by a list that is later than that. What a
-    /// list says is as old as `list_age`.
-    pub fn primary_claim(&self, list_age: f64) -> Option<f64> {
-        let listed = self.listed_primary.then_some(self.listed_primary_at - list_age);
-        match self.role {
-            Some(RoleClaim { primary: true, at }) => Some(listed.map_or(at, |listed| listed.max(at))),
-            Some(RoleClaim { primary: false, at }) => listed.filter(|listed| *listed > at),
-            None => listed,
-        }
-    }
-
-    /// Takes in a reported log position, which never goes back, and a reported role. A role in an answer is as
-    /// of now; one in a load report, whose age is unknown, is as of its log position. The newest claim counts.
-    pub fn observe(&mut self, report: &LoadReport, is_answer: bool, now: f64) {
-        let position = report.log_position.filter(|p| p.is_finite() && *p <= now + CLOCK_TOLERANCE);
-        // A claim with a position below the known one was written earlier: it may be no primary by now.
-        let is_outdated = position.is_some_and(|p| p < self.log_position);
-        if let Some(position) = position.filter(|p| *p > self.log_position) {
-            self.log_position = position;
-            self.log_position_at = now;
-        }
-        let Some(primary) = report.primary.filter(|primary| !primary || !is_outdated) else { return };
-        let at = if is_answer { now } else { position.unwrap_or(NEVER) };
-        if self.role.is_none_or(|known| at >= known.at) {
-            self.role = Some(RoleClaim { primary, at });
-        }
-    }
 }
--- a/src/state/policy.rs
+++ b/src/state/policy.rs
@@ -1,6 +1,6 @@
 //! The state of a policy.
 
-use super::{EndpointTable, LatencyEstimator, RequestTable, SessionTable, TokenBucket, Watch};
+use super::{EndpointKey, EndpointTable, LatencyEstimator, RequestTable, SessionTable, TokenBucket, Watch};
 use crate::interface::Action;
 use crate::settings::{RequestClass, Settings};
 
@@ -58,6 +58,21 @@
         }
     }
 
+    /// The settings of a request class.
+    pub(crate) fn class(&self, class: usize) -> &RequestClass {
+        &self.settings.classes[class]
+    }
+
+    /// Requests that this pooler has in flight at an endpoint, abandoned ones included.
+    pub(crate) fn load(&self, endpoint: EndpointKey) -> u32 {
+        self.endpoints[endpoint].load.total(self.now)
+    }
+
+    /// Whether an endpoint is in the pooler's own zone.
+    pub(crate) fn is_local(&self, endpoint: EndpointKey) -> bool {
+        self.endpoints[endpoint].zone == self.settings.zone
+    }
+
     /// How many endpoints are kept in memory, those that were removed lately included.
     pub fn endpoints_known(&self) -> usize {
         self.endpoints.slots()
--- a/src/state/request_table.rs
+++ b/src/state/request_table.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::{Attempt, PendingRequest};
-use crate::interface::RequestId;
+use crate::interface::{AttemptResult, RequestId};
 
 /// The number of a request, from 1 in the order of arrival.
 pub(crate) type RequestKey = u64;
@@ -79,6 +79,27 @@
         })
     }
 
+    /// For each of so many endpoints, how many attempts in flight are counted.
+    pub fn count_by_endpoint(
+        &self,
+        endpoints: usize,
+        is_counted: impl Fn(&AttemptInFlight) -> bool,
+    ) -> Vec<u32> {
+        let mut counts = vec![0; endpoints];
+        for in_flight in self.attempts_in_flight().filter(is_counted) {
+            let (.., attempt) = in_flight;
+            counts[attempt.endpoint] += 1;
+        }
+        counts
+    }
+
+    /// Marks an attempt as ended. Returns its request and a copy of it, unless it had ended before.
+    pub fn close_attempt(&mut self, result: &AttemptResult) -> Option<(RequestKey, Attempt)> {
+        let key = self.key(&result.id)?;
+        let attempt = self.get_mut(key)?.close_attempt(result.attempt, result.outcome)?;
+        Some((key, attempt))
+    }
+
     /// All pending requests in the order of their arrival.
     pub fn iter(&self) -> impl Iterator<Item = (RequestKey, &PendingRequest)> {
         self.requests.iter().map(|(key, request)| (*key, request))
