--- a/src/net/frontend/session.rs
+++ b/src/net/frontend/session.rs
@@ -148,8 +148,8 @@
         context: &mut Context,
     ) -> Result<(), ConnectionClosed> {
         match postgres::parse_query(body) {
-            Ok(ParsedQuery::Nothing) if service.ready => self.respond_to_empty_query(),
-            Ok(ParsedQuery::Nothing) => {
+            Ok(ParsedQuery::Empty) if service.ready => self.respond_to_empty_query(),
+            Ok(ParsedQuery::Empty) => {
                 self.state = State::AwaitingEndpoints;
                 Ok(())
             }
--- a/src/net/postgres/query.rs
+++ b/src/net/postgres/query.rs
@@ -16,7 +16,7 @@
 #[derive(Debug)]
 pub(crate) enum ParsedQuery {
     /// The query has no statement.
-    Nothing,
+    Empty,
     Query(Box<Query>),
 }
 
@@ -53,7 +53,7 @@
 pub(crate) fn parse_query(body: &[u8]) -> Result<ParsedQuery, QueryError> {
     let sql = parse_string(body).ok_or(QueryError::InvalidText)?;
     if is_blank(sql) {
-        return Ok(ParsedQuery::Nothing);
+        return Ok(ParsedQuery::Empty);
     }
     let comment = find_leading_comment(sql)?;
     let statement = &sql[comment.end + COMMENT_END.len()..];
--- a/src/net/postgres/tests/query.rs
+++ b/src/net/postgres/tests/query.rs
@@ -99,7 +99,7 @@
 #[case::spaces(" \t\r\n")]
 #[case::semicolons(" ; ;")]
 fn query_without_statement_is_nothing(#[case] sql: &str) {
-    assert!(matches!(parse(sql), Ok(ParsedQuery::Nothing)));
+    assert!(matches!(parse(sql), Ok(ParsedQuery::Empty)));
 }
 
 #[rstest]
