--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -2,8 +2,8 @@
 
 use super::{NoRoute, Policy, Route};
 use crate::interface::{Action, StateChange};
-use crate::settings::{RequestClass, Settings};
-use crate::state::{EndpointKey, LatencyEstimator, PendingRequest, RequestKey, TokenBucket};
+use crate::settings::RequestClass;
+use crate::state::{EndpointKey, LatencyEstimator, PendingRequest, RequestKey};
 
 /// Share of the latency objective that the predicted latency may take, for the lowest priority ...
 const MIN_OBJECTIVE_SHARE: f64 = 0.45;
@@ -14,17 +14,10 @@
 /// Retry-After of a rejection, as a share of the objective: short, so that the retry still falls within it.
 const RETRY_AFTER_SHARE: f64 = 0.12;
 /// Smallest burst of a tenant: with many poolers, one second of its quota is less than one request.
-const MIN_TENANT_BURST: f64 = 2.0;
+pub(super) const MIN_TENANT_BURST: f64 = 2.0;
 /// Load shedding is logged again once it has paused for this long (seconds).
 const SHEDDING_LOG_INTERVAL: f64 = 1.0;
 
-/// Each tenant's allowance at this pooler.
-pub(super) fn tenant_quotas(settings: &Settings) -> Vec<TokenBucket> {
-    let poolers = f64::from(settings.pooler_count);
-    let quotas = settings.tenant_quota.iter();
-    quotas.map(|quota| TokenBucket::earning(quota / poolers, MIN_TENANT_BURST)).collect()
-}
-
 impl Policy {
     /// Expected latency of one more request, from the recent latency of its class and the endpoint's load.
     pub(super) fn predicted_latency(&self, endpoint: EndpointKey, class: usize) -> f64 {
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -91,7 +91,7 @@
         }
         let group = self.endpoints.groups.get(&request.group).filter(|group| !group.endpoints.is_empty());
         let primary = group.ok_or(NoRoute::Reject)?.primary.ok_or(NoRoute::Queue)?;
-        if self.trial_due(primary) {
+        if self.endpoints[primary].health.is_trial_due(self.now) {
             return Ok(primary);
         }
         let share = self.settings.overload_limit * PRIMARY_SHARE_OF_LIMIT;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -46,7 +46,9 @@
             objectives.map(|objective| LatencyEstimator::new(objective * INITIAL_LATENCY)).collect();
         policy.retry_budget = TokenBucket::new(attempts::MAX_RETRIES / 2.0, attempts::MAX_RETRIES);
         policy.health_check_budget = TokenBucket::full(primary_search::MAX_HEALTH_CHECKS);
-        policy.tenant_quotas = admission::tenant_quotas(&policy.settings);
+        let poolers = f64::from(policy.settings.pooler_count);
+        let bucket = |quota: &f64| TokenBucket::earning(quota / poolers, admission::MIN_TENANT_BURST);
+        policy.tenant_quotas = policy.settings.tenant_quota.iter().map(bucket).collect();
         Ok(policy)
     }
 
--- a/src/policy/outlier_detection.rs
+++ b/src/policy/outlier_detection.rs
@@ -2,7 +2,8 @@
 
 use super::Policy;
 use crate::interface::{Action, StateChange};
-use crate::state::EndpointKey;
+use crate::state::{EndpointKey, OutlierDetector};
+use fastrand::Rng;
 
 /// Failure score at which an endpoint is ejected: two plain failures or one dead process.
 pub(super) const EJECTION_SCORE: f64 = 2.0;
@@ -19,49 +20,55 @@
 pub(super) const MAX_EJECTION: f64 = 12.0;
 const MAX_COUNTED_EJECTIONS: i32 = 5;
 
-impl Policy {
-    /// Adds a failure to an endpoint's score, which may eject it.
-    pub(super) fn record_failure(&mut self, endpoint: EndpointKey, weight: f64) {
-        let (now, unit) = (self.now, self.settings.connect_timeout);
-        let endpoint = &mut self.endpoints[endpoint];
-        let health = &mut endpoint.health;
-        let half_lives = (now - health.score_updated_at) / (unit * SCORE_HALF_LIFE);
-        health.failure_score = health.failure_score * 0.5f64.powf(half_lives) + weight;
-        health.score_updated_at = now;
-        if health.failure_score < EJECTION_SCORE || health.ejected && now < health.ejected_until {
-            return;
+impl OutlierDetector {
+    /// Adds a failure to the score. Returns whether it ejects the endpoint. `unit` is the connect timeout.
+    pub(crate) fn record_failure(&mut self, weight: f64, now: f64, unit: f64, rng: &mut Rng) -> bool {
+        let half_lives = (now - self.score_updated_at) / (unit * SCORE_HALF_LIFE);
+        self.failure_score = self.failure_score * 0.5f64.powf(half_lives) + weight;
+        self.score_updated_at = now;
+        if self.failure_score < EJECTION_SCORE || self.is_ejected && now < self.ejected_until {
+            return false;
         }
         // One successful trial does not clear an endpoint that fails now and then: a relapse lasts longer.
-        let is_relapse = health.ejected || now - health.reinstated_at < unit * MAX_EJECTION;
-        let earlier = if is_relapse { health.consecutive_ejections } else { 0 };
-        health.consecutive_ejections = (earlier + 1).min(MAX_COUNTED_EJECTIONS);
-        let doublings = f64::from(1 << (health.consecutive_ejections - 1));
+        let is_relapse = self.is_ejected || now - self.reinstated_at < unit * MAX_EJECTION;
+        let earlier = if is_relapse { self.consecutive_ejections } else { 0 };
+        self.consecutive_ejections = (earlier + 1).min(MAX_COUNTED_EJECTIONS);
+        let doublings = f64::from(1 << (self.consecutive_ejections - 1));
         let duration = (FIRST_EJECTION * doublings).min(MAX_EJECTION) * unit;
-        health.ejected_until = now + duration * (0.75 + 0.5 * self.rng.f64());
-        if !std::mem::replace(&mut health.ejected, true) {
+        self.ejected_until = now + duration * (0.75 + 0.5 * rng.f64());
+        !std::mem::replace(&mut self.is_ejected, true)
+    }
+
+    /// Notes that a request was served. Returns whether that reinstates the endpoint.
+    pub(crate) fn record_success(&mut self, now: f64) -> bool {
+        self.failure_score *= 0.5;
+        let is_reinstated = std::mem::take(&mut self.is_ejected);
+        if is_reinstated {
+            self.failure_score = 0.0;
+            self.reinstated_at = now;
+        }
+        is_reinstated
+    }
+
+    /// Whether the endpoint is ejected and may have the one request that tries it.
+    pub(crate) fn is_trial_due(&self, now: f64) -> bool {
+        self.is_ejected && now >= self.ejected_until && !self.trial_in_flight
+    }
+}
+
+impl Policy {
+    pub(super) fn record_failure(&mut self, endpoint: EndpointKey, weight: f64) {
+        let endpoint = &mut self.endpoints[endpoint];
+        if endpoint.health.record_failure(weight, self.now, self.settings.connect_timeout, &mut self.rng) {
             self.actions.push(Action::Log(StateChange::Ejected(endpoint.id.clone())));
         }
     }
 
-    /// Notes that an endpoint served a request, which reinstates it.
     pub(super) fn record_success(&mut self, endpoint: EndpointKey) {
         let endpoint = &mut self.endpoints[endpoint];
-        endpoint.health.failure_score *= 0.5;
-        if std::mem::take(&mut endpoint.health.ejected) {
-            endpoint.health.failure_score = 0.0;
-            endpoint.health.reinstated_at = self.now;
+        if endpoint.health.record_success(self.now) {
             endpoint.load.latency_ratio = 1.0;
             self.actions.push(Action::Log(StateChange::Reinstated(endpoint.id.clone())));
         }
     }
-
-    pub(super) fn is_healthy(&self, endpoint: EndpointKey) -> bool {
-        !self.endpoints[endpoint].health.ejected
-    }
-
-    /// Whether an ejected endpoint may have the one request that tries it.
-    pub(super) fn trial_due(&self, endpoint: EndpointKey) -> bool {
-        let health = &self.endpoints[endpoint].health;
-        health.ejected && self.now >= health.ejected_until && !health.trial_in_flight
-    }
 }
--- a/src/policy/read_routing.rs
+++ b/src/policy/read_routing.rs
@@ -12,7 +12,6 @@
 /// Objective share for reads on the primary, which must keep capacity for writes and strong reads.
 const OVERFLOW_SHARE: f64 = 0.35;
 
-/// A read that is to be routed, and what it may use.
 struct Read<'a> {
     request: &'a PendingRequest,
     is_eventual: bool,
@@ -62,7 +61,8 @@
     }
 
     fn is_fit(&self, read: &Read, endpoint: EndpointKey) -> bool {
-        let is_available = self.is_healthy(endpoint) || self.trial_due(endpoint);
+        let is_available =
+            self.is_healthy(endpoint) || self.endpoints[endpoint].health.is_trial_due(self.now);
         is_available && self.slow_start_admits(read.request, endpoint, read.slow_start_share)
     }
 
@@ -100,7 +100,6 @@
         Some(idlest.filter(|away| self.should_leave(home, *away)).unwrap_or(home))
     }
 
-    /// Whether a read leaves one replica for another with less load.
     fn should_leave(&self, here: EndpointKey, there: EndpointKey) -> bool {
         let (here, there) = (self.load(here), self.load(there));
         here > EXIT_MULTIPLE * there && here >= there + EXIT_MARGIN
@@ -143,7 +142,7 @@
             let failed_lately = self.now - health.connect_failed_at <= self.settings.connect_timeout;
             let is_due = none_is_healthy && !health.trial_in_flight && !failed_lately;
             let is_admitted = self.slow_start_admits(read.request, endpoint, read.slow_start_share);
-            health.ejected && (is_fresh || is_primary) && (is_due || answers) && is_admitted
+            health.is_ejected && (is_fresh || is_primary) && (is_due || answers) && is_admitted
         };
         let until = |endpoint: EndpointKey| self.endpoints[endpoint].health.ejected_until.max(self.now);
         let cost = |e: &EndpointKey| until(*e) + self.predicted_latency(*e, read.request.class);
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -33,7 +33,7 @@
     pub last_response_at: f64,
     /// When the latest of the attempts was sent that it has served.
     pub latest_served_send_at: f64,
-    pub health: EndpointHealth,
+    pub health: OutlierDetector,
     pub load: EndpointLoad,
     pub health_check_in_flight: bool,
     pub last_health_check_at: f64,
@@ -46,13 +46,13 @@
     pub at: f64,
 }
 
-/// The evidence for and against ejecting an endpoint.
+/// The evidence for and against ejecting an endpoint. What follows from it is decided by the policy.
 #[derive(Clone, Debug)]
-pub(crate) struct EndpointHealth {
+pub(crate) struct OutlierDetector {
     /// Weight of the failures so far; decays with time.
     pub failure_score: f64,
     pub score_updated_at: f64,
-    pub ejected: bool,
+    pub is_ejected: bool,
     /// From when on one request may try it.
     pub ejected_until: f64,
     /// Ejections in a row, counting relapses.
@@ -64,12 +64,12 @@
     pub connect_failed_at: f64,
 }
 
-impl Default for EndpointHealth {
+impl Default for OutlierDetector {
     fn default() -> Self {
-        EndpointHealth {
+        OutlierDetector {
             failure_score: 0.0,
             score_updated_at: 0.0,
-            ejected: false,
+            is_ejected: false,
             ejected_until: 0.0,
             consecutive_ejections: 0,
             reinstated_at: NEVER,
@@ -141,7 +141,7 @@
             self.warming_since = self.warming_since.max(entry.started_at.min(now));
             self.health.failure_score = 0.0;
             self.health.ejected_until = 0.0;
-            self.health.ejected = false;
+            self.health.is_ejected = false;
         }
         if entry.primary != self.listed_primary || kind == UpdateKind::Cached {
             self.listed_primary = entry.primary;
@@ -169,7 +169,7 @@
 
     /// Notes that an attempt was sent; the usual load takes in the present one with this weight.
     pub fn attempt_sent(&mut self, now: f64, weight: f64) {
-        self.health.trial_in_flight |= self.health.ejected;
+        self.health.trial_in_flight |= self.health.is_ejected;
         self.load.usual += weight * (f64::from(self.load.in_flight) - self.load.usual);
         self.load.in_flight += 1;
         self.load.last_sent_at = now;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -15,7 +15,7 @@
 mod token_bucket;
 mod watch;
 
-pub(crate) use endpoint::{EndpointState, RoleClaim};
+pub(crate) use endpoint::{EndpointState, OutlierDetector, RoleClaim};
 pub(crate) use endpoint_table::{EndpointKey, EndpointTable};
 pub(crate) use group::Group;
 pub(crate) use latency::LatencyEstimator;
--- a/src/state/policy.rs
+++ b/src/state/policy.rs
@@ -68,6 +68,11 @@
         self.endpoints[endpoint].load.total(self.now)
     }
 
+    /// Whether an endpoint is not ejected as an outlier.
+    pub(crate) fn is_healthy(&self, endpoint: EndpointKey) -> bool {
+        !self.endpoints[endpoint].health.is_ejected
+    }
+
     /// Whether an endpoint is in the pooler's own zone.
     pub(crate) fn is_local(&self, endpoint: EndpointKey) -> bool {
         self.endpoints[endpoint].zone == self.settings.zone
--- a/src/state/tests/endpoint.rs
+++ b/src/state/tests/endpoint.rs
@@ -52,11 +52,11 @@
 fn a_restart_clears_the_failures_and_begins_the_slow_start() {
     let mut endpoint = endpoint();
     endpoint.health.failure_score = 3.0;
-    endpoint.health.ejected = true;
+    endpoint.health.is_ejected = true;
     endpoint.health.ejected_until = 20.0;
     let entry = Endpoint { id: "db-1".into(), started_at: 9.0, ..Endpoint::default() };
     endpoint.apply(UpdateKind::Delta, &entry, 10.0);
-    assert_eq!((endpoint.health.failure_score, endpoint.health.ejected), (0.0, false));
+    assert_eq!((endpoint.health.failure_score, endpoint.health.is_ejected), (0.0, false));
     assert_eq!((endpoint.health.ejected_until, endpoint.warming_since), (0.0, 9.0));
 }
 
--- a/src/state/tests/mod.rs
+++ b/src/state/tests/mod.rs
@@ -3,5 +3,6 @@
 mod endpoint;
 mod endpoint_table;
 mod estimates;
+mod outlier_detector;
 mod request_table;
 mod session_table;
