--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,7 +3,7 @@
 
 mod backend;
 mod buffer;
-pub(crate) mod discovery;
+mod discovery;
 mod frontend;
 mod messages;
 mod pooler;
