--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -1,7 +1,6 @@
 //! The life cycle of a request: receipt, attempts, idempotency, deadline.
 
 use super::primary_search::HEALTH_CHECKS_PER_REQUEST;
-use super::slow_start::PRIMARY_SHARE_OF_LIMIT;
 use super::{NoRoute, Policy, Route, SAMPLE_WEIGHT};
 use crate::interface::{Action, Request};
 use crate::state::{Attempt, EndpointKey, PendingRequest, RequestKey};
@@ -94,8 +93,7 @@
         if self.endpoints[primary].health.is_trial_due(self.now) {
             return Ok(primary);
         }
-        let share = self.settings.overload_limit * PRIMARY_SHARE_OF_LIMIT;
-        if !self.is_healthy(primary) || !self.slow_start_admits(request, primary, share) {
+        if !self.is_healthy(primary) || !self.slow_start_admits_to_primary(request, primary) {
             return Err(NoRoute::Queue);
         }
         self.admit(request, primary, 1.0)
--- a/src/policy/primary_search.rs
+++ b/src/policy/primary_search.rs
@@ -1,7 +1,6 @@
 //! The search for a lost primary, and health checks of replicas that were silent.
 
 use super::outlier_detection::{FAILURE, MAX_EJECTION};
-use super::slow_start::PRIMARY_SHARE_OF_LIMIT;
 use super::Policy;
 use crate::interface::{Action, EndpointId, LoadReport, Outcome};
 use crate::state::{EndpointKey, PendingRequest, RequestKey};
@@ -37,10 +36,10 @@
     }
 
     /// Whether a log position is about to be too old for reads, or unknown and no read may find it out.
-    fn needs_refresh(&self, endpoint: EndpointKey) -> bool {
-        let endpoint = &self.endpoints[endpoint];
+    fn needs_refresh(&self, key: EndpointKey) -> bool {
+        let endpoint = &self.endpoints[key];
         let max_age = self.shortest_staleness * REFRESH_AGE;
-        let is_aging = endpoint.zone == self.settings.zone && self.now - endpoint.log_position_at > max_age;
+        let is_aging = self.is_local(key) && self.now - endpoint.log_position_at > max_age;
         let is_unknown =
             !self.settings.stale_reads.is_checked() && endpoint.log_position == f64::NEG_INFINITY;
         (is_aging || is_unknown) && self.now - endpoint.last_health_check_at > self.shortest_staleness
@@ -83,10 +82,9 @@
         };
         let write = |key: &RequestKey| Some((*key, self.requests.get(*key).filter(is_unsent_write)?));
         let Some((key, request)) = group.queued.iter().find_map(write) else { return };
-        let share = self.settings.overload_limit * PRIMARY_SHARE_OF_LIMIT;
         let is_candidate = |&endpoint: &EndpointKey| {
             let is_usable = self.accepts_requests(endpoint) && self.is_healthy(endpoint);
-            is_usable && !request.tried(endpoint) && self.slow_start_admits(request, endpoint, share)
+            is_usable && !request.tried(endpoint) && self.slow_start_admits_to_primary(request, endpoint)
         };
         let position = |endpoint: &EndpointKey| self.endpoints[*endpoint].log_position;
         let candidates = group.endpoints.iter().copied().filter(is_candidate);
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -8,7 +8,7 @@
 /// ... and of its overload limit; the rest is a margin, since reads differ in the work that they take.
 const READ_SHARE_OF_LIMIT: f64 = 0.8;
 /// Share of the overload limit for requests that need a primary that is warming up.
-pub(super) const PRIMARY_SHARE_OF_LIMIT: f64 = 0.5;
+const PRIMARY_SHARE_OF_LIMIT: f64 = 0.5;
 
 impl Policy {
     fn capacity(&self, endpoint: EndpointKey) -> f64 {
@@ -22,6 +22,11 @@
         capacity >= 1.0 || request.sampling_draw < share * capacity && !request.tried(to)
     }
 
+    /// The same for a request that needs the primary.
+    pub(super) fn slow_start_admits_to_primary(&self, request: &PendingRequest, to: EndpointKey) -> bool {
+        self.slow_start_admits(request, to, self.settings.overload_limit * PRIMARY_SHARE_OF_LIMIT)
+    }
+
     /// Share of a group's reads, in multiples of an endpoint's capacity: its limit over the group's capacity.
     pub(super) fn read_slow_start_share(&self, group: &Group) -> f64 {
         let group_capacity: f64 = self.usable_endpoints(group).map(|endpoint| self.capacity(endpoint)).sum();
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -27,7 +27,7 @@
     pub log_position: f64,
     /// When it reported that position.
     pub log_position_at: f64,
-    /// No read is sent before then in the mere hope that its data is recent enough.
+    /// Until then it gets no read unless its log position is known to be recent enough.
     pub stale_until: f64,
     /// When the last answer came.
     pub last_response_at: f64,
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -37,7 +37,7 @@
 }
 
 /// A request that is not finished, or still has attempts in flight.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct PendingRequest {
     pub id: RequestId,
     pub class: usize,
@@ -96,7 +96,7 @@
 
     /// Whether an attempt is in flight.
     pub fn in_flight(&self) -> bool {
-        self.attempts.iter().any(|attempt| attempt.in_flight)
+        self.attempts_in_flight() > 0
     }
 
     /// Whether an attempt was made at this endpoint.
--- a/src/state/request_table.rs
+++ b/src/state/request_table.rs
@@ -33,10 +33,12 @@
         self.keys.get(id).copied()
     }
 
+    /// A pending request.
     pub fn get(&self, key: RequestKey) -> Option<&PendingRequest> {
         self.requests.get(&key)
     }
 
+    /// A pending request, to be changed.
     pub fn get_mut(&mut self, key: RequestKey) -> Option<&mut PendingRequest> {
         self.requests.get_mut(&key)
     }
