Test hedged attempts that are not sent yet and a log that nobody reads: they fail

Found by reading: the network's request table keeps one attempt in flight for each request, so with hedged requests the earlier one is forgotten. Measured by an operator: a pooler whose standard error is a full pipe answers no client.

--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -1,9 +1,11 @@
 //! The log of the pooler's program: its form, and that its loss does not stop the program.
 #![allow(clippy::unwrap_used, reason = "a panic is how a test fails, also in its helper functions")]
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
+use std::time::Duration;
 
 /// Port 1 is reserved: nothing listens there.
 const NO_DISCOVERY: &str = "127.0.0.1:1";
@@ -111,3 +113,33 @@
     program.signal("TERM");
     assert!(program.wait().success());
 }
+
+/// A pipe holds 64 KiB, which is about a hundred lines with counters.
+const SIGNALS_THAT_FILL_THE_PIPE: u32 = 3000;
+/// The startup message of a client: its length, the version, the user and the end of the parameters.
+const STARTUP: &[u8] = b"\0\0\0\x12\0\x03\0\0user\0app\0\0";
+/// Far longer than a response takes, so only a failed test waits so long.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The program once waited for the reader of its log, and served no client meanwhile.
+#[test]
+fn a_full_standard_error_does_not_stop_the_program() {
+    let mut program = Program::start("log-full");
+    let first = program.first_line();
+    let address = first.split("address=").nth(1).and_then(|rest| rest.split(' ').next()).unwrap();
+    let pid = program.child.id();
+    // A program that is started between two signals leaves time to handle the first.
+    let script =
+        format!("for i in $(seq {SIGNALS_THAT_FILL_THE_PIPE}); do kill -USR1 {pid}; /bin/true; done");
+    assert!(Command::new("sh").args(["-c", &script]).status().unwrap().success());
+    let mut client = TcpStream::connect(address).unwrap();
+    client.set_read_timeout(Some(RESPONSE_TIMEOUT)).unwrap();
+    client.write_all(STARTUP).unwrap();
+    client.read_exact(&mut [0]).expect("the client is served");
+    program.signal("TERM");
+    drop(client);
+    // Nothing is lost that was logged since the pipe has been read.
+    let lines = program.remaining_lines();
+    assert!(lines.last().unwrap().contains("INFO shut down: clients_accepted=1 "), "{:?}", lines.last());
+    assert!(program.wait().success());
+}
--- a/tests/loopback/harness/connection.rs
+++ b/tests/loopback/harness/connection.rs
@@ -107,6 +107,13 @@
         }
     }
 
+    /// Requires that the pooler ends the connection and sends no query before that.
+    #[track_caller]
+    pub fn expect_end_without_query(&mut self) {
+        let message = self.receive();
+        assert!(message.is_none(), "{message:?} instead of the end of the connection");
+    }
+
     /// Reads at most one byte. Starts again after a signal, such as the one that comes when the child process of
     /// another test ends.
     fn read_byte(&mut self) -> std::io::Result<usize> {
--- a/tests/loopback/harness/database_host.rs
+++ b/tests/loopback/harness/database_host.rs
@@ -36,20 +36,31 @@
         Connection::new(self.listener.accept().expect("the pooler connects").0)
     }
 
-    /// The next connection, after its startup.
-    pub fn accept(&self) -> Connection {
+    /// The next connection. Its startup message is read and not answered yet.
+    pub fn accept_unanswered_startup(&self) -> Connection {
         let mut connection = self.accept_without_startup();
         let mut length = [0; 4];
         connection.stream.read_exact(&mut length).unwrap();
         let mut parameters = vec![0; u32::from_be_bytes(length) as usize - 4];
         connection.stream.read_exact(&mut parameters).unwrap();
-        let authentication_ok = encode_message(message_type::AUTHENTICATION, &AUTHENTICATION_OK);
-        connection.send(&[authentication_ok, ready_for_query()].concat());
+        connection
+    }
+
+    /// The next connection, after its startup.
+    pub fn accept(&self) -> Connection {
+        let mut connection = self.accept_unanswered_startup();
+        connection.complete_startup();
         connection
     }
 }
 
 impl Connection {
+    /// Answers the startup message, after which the pooler may send a query.
+    pub fn complete_startup(&mut self) {
+        let authentication_ok = encode_message(message_type::AUTHENTICATION, &AUTHENTICATION_OK);
+        self.send(&[authentication_ok, ready_for_query()].concat());
+    }
+
     /// The statement of the next message, which has to be a query.
     pub fn receive_query(&mut self) -> String {
         let message = self.receive().expect("a query");
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -13,6 +13,7 @@
 mod deadlines;
 mod discovery;
 mod harness;
+mod hedging;
 mod malformed_responses;
 mod routing;
 mod shutdown_and_reload;
