Keep all attempts of a request that are in flight, and withdraw the unsent with its answer

Cause: ForwardedRequest.in_flight in src/net/pooler/request_table held one attempt. A hedged request has two: the second replaced the first, so that the first could not be cancelled, and the end of either removed the request while the other was in flight. Its end then reached no decision: the policy counted it as load and kept the request for ever. A first attempt whose connection came up late was sent after the client had its answer or had left.

Change: the table keeps every attempt by number. A client that leaves ends all of them. With the final answer each attempt whose query is not written yet is withdrawn.

Ruled out: the policy, whose own table keeps attempts by number (tests/policy/retries.rs).

--- a/src/net/backend/connection.rs
+++ b/src/net/backend/connection.rs
@@ -83,6 +83,15 @@
         self.state.is_idle()
     }
 
+    /// Whether the connection has an exchange whose query is not completely written yet.
+    pub fn has_unsent_query(&self) -> bool {
+        match self.state {
+            State::Connecting(_) | State::Starting(_) => true,
+            State::Busy { .. } => !self.is_output_sent(),
+            State::Idle => false,
+        }
+    }
+
     /// Whether data has been received that no exchange has consumed.
     pub fn has_unread_input(&self) -> bool {
         !self.input.is_empty()
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -169,6 +169,13 @@
         self.handle_progress(id, Progress::Failed(Outcome::Cancelled), context);
     }
 
+    /// Cancels the task on a connection whose query is not completely written yet.
+    pub fn cancel_unsent(&mut self, id: ConnectionId, context: &mut Context) {
+        if self.pool.get_mut(id).is_some_and(|connection| connection.has_unsent_query()) {
+            self.cancel(id, context);
+        }
+    }
+
     fn handle_progress(&mut self, id: ConnectionId, progress: Progress, context: &mut Context) {
         match progress {
             Progress::Pending => {}
--- a/src/net/pooler/actions.rs
+++ b/src/net/pooler/actions.rs
@@ -51,6 +51,10 @@
         if let Some(client) = self.requests.take_client(id) {
             self.respond(client, response, context);
         }
+        // An attempt that has not reached its host must not begin after the final answer.
+        for connection in self.requests.connections(id) {
+            self.backend.cancel_unsent(connection, context);
+        }
         self.requests.remove_if_finished(id);
     }
 }
--- a/src/net/pooler/completions.rs
+++ b/src/net/pooler/completions.rs
@@ -33,7 +33,7 @@
     ) {
         let outcome = completion.outcome;
         context.counters.attempt_outcomes.record(outcome);
-        let Some(client) = self.requests.attempt_finished(&id) else { return };
+        let Some(client) = self.requests.attempt_finished(&id, attempt) else { return };
         let response = final_response(outcome, completion.value);
         let result = AttemptResult {
             id: id.clone(),
--- a/src/net/pooler/queries.rs
+++ b/src/net/pooler/queries.rs
@@ -104,7 +104,7 @@
         let Some(request) = self.requests.client_disconnected(client) else { return };
         context.counters.client_disconnects += 1;
         self.notify_policy(interface::Event::ClientDisconnected { id: request.id.clone() }, context);
-        if let Some(connection) = request.connection {
+        for connection in request.connections {
             self.cancel_attempt(connection, context);
         }
         self.requests.remove_if_finished(&request.id);
--- a/src/net/pooler/request_table/mod.rs
+++ b/src/net/pooler/request_table/mod.rs
@@ -24,8 +24,15 @@
     statement: Rc<Statement>,
     /// How many attempts were started.
     attempts: usize,
-    /// The attempt whose end is not handled yet.
-    in_flight: Option<InFlightAttempt>,
+    /// The attempts whose ends are not handled yet: more than one where requests are hedged.
+    in_flight: Vec<InFlightAttempt>,
+}
+
+impl ForwardedRequest {
+    /// The connections that its attempts in flight run on.
+    fn connections(&self) -> Vec<ConnectionId> {
+        self.in_flight.iter().filter_map(|attempt| attempt.connection).collect()
+    }
 }
 
 /// An attempt that is about to be sent.
@@ -42,8 +49,8 @@
 pub(super) struct AbandonedRequest {
     /// The request.
     pub id: RequestId,
-    /// The connection that its attempt in flight runs on, if any.
-    pub connection: Option<ConnectionId>,
+    /// The connections that its attempts in flight run on.
+    pub connections: Vec<ConnectionId>,
 }
 
 /// Whether a client still waits for the answer to a request.
@@ -78,7 +85,7 @@
             client: Some(client),
             statement: Rc::new(statement),
             attempts: 0,
-            in_flight: None,
+            in_flight: Vec::new(),
         };
         self.requests.insert(id.clone(), request);
         self.by_client.insert(client, id);
@@ -95,23 +102,25 @@
     /// Records that an attempt was sent, and on which connection.
     pub fn attempt_sent(&mut self, id: &str, number: usize, connection: Option<ConnectionId>) {
         if let Some(request) = self.requests.get_mut(id) {
-            request.in_flight = Some(InFlightAttempt { number, connection });
+            request.in_flight.push(InFlightAttempt { number, connection });
         }
     }
 
     /// The connection that an attempt runs on, if that attempt is in flight.
     pub fn connection_of_attempt(&self, id: &str, number: usize) -> Option<ConnectionId> {
-        let in_flight = self.requests.get(id)?.in_flight?;
-        if in_flight.number != number {
-            return None;
-        }
-        in_flight.connection
+        let mut in_flight = self.requests.get(id)?.in_flight.iter();
+        in_flight.find(|attempt| attempt.number == number)?.connection
+    }
+
+    /// The connections that the attempts of a request run on which are in flight.
+    pub fn connections(&self, id: &str) -> Vec<ConnectionId> {
+        self.requests.get(id).map(ForwardedRequest::connections).unwrap_or_default()
     }
 
-    /// Records that the attempt in flight has ended; none where the request is not in progress.
-    pub fn attempt_finished(&mut self, id: &str) -> Option<ClientState> {
+    /// Records that an attempt has ended; none where the request is not in progress.
+    pub fn attempt_finished(&mut self, id: &str, number: usize) -> Option<ClientState> {
         let request = self.requests.get_mut(id)?;
-        request.in_flight = None;
+        request.in_flight.retain(|attempt| attempt.number != number);
         Some(if request.client.is_some() { ClientState::Waiting } else { ClientState::Gone })
     }
 
@@ -121,8 +130,8 @@
         let id = self.by_client.remove(&client)?;
         let request = self.requests.get_mut(&id)?;
         request.client = None;
-        let connection = request.in_flight.and_then(|attempt| attempt.connection);
-        Some(AbandonedRequest { id, connection })
+        let connections = request.connections();
+        Some(AbandonedRequest { id, connections })
     }
 
     /// The client that is owed the final answer, which is to be sent now; none where there is no such client.
@@ -134,7 +143,7 @@
 
     /// Removes a request that neither a client nor an attempt waits for.
     pub fn remove_if_finished(&mut self, id: &str) {
-        let finished = |request: &ForwardedRequest| request.client.is_none() && request.in_flight.is_none();
+        let finished = |request: &ForwardedRequest| request.client.is_none() && request.in_flight.is_empty();
         if self.requests.get(id).is_some_and(finished) {
             self.requests.remove(id);
         }
--- a/src/net/pooler/request_table/tests.rs
+++ b/src/net/pooler/request_table/tests.rs
@@ -37,7 +37,7 @@
     let mut table = RequestTable::default();
     assert!(!table.contains(ID));
     assert!(table.start_attempt(ID).is_none());
-    assert_eq!(table.attempt_finished(ID), None);
+    assert_eq!(table.attempt_finished(ID, 0), None);
     assert_eq!(table.connection_of_attempt(ID, 0), None);
     assert_eq!(table.client_disconnected(client), None);
     assert_eq!(table.take_client(ID), None);
@@ -63,7 +63,7 @@
     assert_eq!(table.connection_of_attempt(ID, 0), None);
     let number = send_attempt(&mut table, Some(first));
     assert_eq!(table.connection_of_attempt(ID, number), Some(first));
-    assert_eq!(table.attempt_finished(ID), Some(ClientState::Waiting));
+    assert_eq!(table.attempt_finished(ID, number), Some(ClientState::Waiting));
     assert_eq!(table.connection_of_attempt(ID, number), None);
     let retry = send_attempt(&mut table, Some(second));
     assert_eq!(table.connection_of_attempt(ID, number), None);
@@ -79,7 +79,7 @@
     assert_eq!(table.take_client(ID), Some(client));
     table.remove_if_finished(ID);
     assert!(table.contains(ID));
-    assert_eq!(table.attempt_finished(ID), Some(ClientState::Gone));
+    assert_eq!(table.attempt_finished(ID, 0), Some(ClientState::Gone));
     table.remove_if_finished(ID);
     assert!(!table.contains(ID));
 }
@@ -110,13 +110,13 @@
     let mut table = table_with_request(client);
     send_attempt(&mut table, Some(connection));
     assert_eq!(table.client_disconnected(other), None);
-    let abandoned = AbandonedRequest { id: RequestId::from(ID), connection: Some(connection) };
+    let abandoned = AbandonedRequest { id: RequestId::from(ID), connections: vec![connection] };
     assert_eq!(table.client_disconnected(client), Some(abandoned));
     assert_eq!(table.client_disconnected(client), None);
     assert_eq!(table.take_client(ID), None, "nobody is owed an answer");
     table.remove_if_finished(ID);
     assert!(table.contains(ID), "its attempt is in flight");
-    assert_eq!(table.attempt_finished(ID), Some(ClientState::Gone));
+    assert_eq!(table.attempt_finished(ID, 0), Some(ClientState::Gone));
     table.remove_if_finished(ID);
     assert!(!table.contains(ID));
 }
@@ -131,3 +131,32 @@
     assert_eq!(table.take_client(ID), None);
     assert_eq!(table.take_client("r2"), Some(client));
 }
+
+/// A hedged request has two attempts in flight. The later one once took the place of the earlier.
+#[test]
+fn a_request_stays_until_all_its_attempts_have_ended() {
+    let [client, first_connection, second_connection] = connections();
+    let mut table = table_with_request(client);
+    let first = send_attempt(&mut table, Some(first_connection));
+    let second = send_attempt(&mut table, Some(second_connection));
+    assert_eq!(table.connection_of_attempt(ID, first), Some(first_connection));
+    assert_eq!(table.connection_of_attempt(ID, second), Some(second_connection));
+    assert_eq!(table.connections(ID), [first_connection, second_connection]);
+    assert_eq!(table.attempt_finished(ID, second), Some(ClientState::Waiting));
+    assert_eq!(table.take_client(ID), Some(client));
+    table.remove_if_finished(ID);
+    assert_eq!(table.connections(ID), [first_connection], "the first attempt is still in flight");
+    assert_eq!(table.attempt_finished(ID, first), Some(ClientState::Gone));
+    table.remove_if_finished(ID);
+    assert!(!table.contains(ID));
+}
+
+#[test]
+fn a_disconnected_client_abandons_all_attempts_in_flight() {
+    let [client, first, second] = connections();
+    let mut table = table_with_request(client);
+    send_attempt(&mut table, Some(first));
+    send_attempt(&mut table, Some(second));
+    let abandoned = AbandonedRequest { id: RequestId::from(ID), connections: vec![first, second] };
+    assert_eq!(table.client_disconnected(client), Some(abandoned));
+}
