Write the log in a thread of its own, and count the lines that are lost

Cause: src/logging.rs wrote each event to standard error from the thread that serves clients. A pipe that is open and not read holds 64 KiB; the next line stopped the program (tests/logging.rs: no byte within 10 s after 500 SIGUSR1).

Change: tracing-appender queues up to 1000 lines for a thread that writes them. Its limit drops lines and counts them; a line with the count follows once there is room. At exit its guard waits up to 1.1 s and prints to standard output if the queue is full, which may block too: it is dropped in a thread, and the program waits 1.5 s at most.

Tests: a full pipe stops no client, and the last line is there once the pipe is read; lost lines are counted once; a log that is not read does not keep the program from ending. Worse: one thread more, and an exit up to 1.5 s later where the log is not read.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -89,7 +89,7 @@
 fn serve(path: Option<PathBuf>) -> Result<(), CommandError> {
     let path = config_path(path)?;
     let config = Config::load(&path)?;
-    crate::logging::init();
+    let _log = crate::logging::init();
     crate::net::serve(&config, &path)?;
     Ok(())
 }
