Test the end of the process and a reload without its file at their extremes: they fail

- A client at the connection limit that waits in the listener's queue when the grace period ends is reset, with its query.
- A query that comes after the grace period behind a long one waits for that, past the moment of the earliest kill (3.7 s).
- A reload whose file cannot be read for a moment is lost: the pooler stays with a discovery service that has moved.

--- a/tests/loopback/harness/pooler.rs
+++ b/tests/loopback/harness/pooler.rs
@@ -92,6 +92,15 @@
         self.signal(Signal::Hangup);
     }
 
+    /// Makes the pooler reload its configuration while the file is not there, and then puts the edited file back.
+    pub fn reload_while_missing(&self, edit: &Edit) {
+        let text = std::fs::read_to_string(&self.configuration).unwrap();
+        std::fs::remove_file(&self.configuration).unwrap();
+        self.signal(Signal::Hangup);
+        self.wait_for_log("reload failed");
+        std::fs::write(&self.configuration, edit.apply(&text)).unwrap();
+    }
+
     /// Waits for a line of the log that contains `text`. Skips the lines before it.
     pub fn wait_for_log(&self, text: &str) -> String {
         loop {
--- a/tests/loopback/shutdown_and_reload.rs
+++ b/tests/loopback/shutdown_and_reload.rs
@@ -1,6 +1,7 @@
 //! Graceful shutdown and reloading of the configuration.
 
 use std::io::Read;
+use std::time::{Duration, Instant};
 
 use crate::harness::*;
 
@@ -108,3 +109,84 @@
     client.expect_end();
     assert_eq!(pooler.wait_for_exit().code(), Some(0));
 }
+
+/// The file of a configuration was once read only once for each signal: where that failed, the pooler stayed with a
+/// discovery service that had moved.
+#[test]
+fn a_reload_is_tried_again_while_the_file_cannot_be_read() {
+    let host = DatabaseHost::new();
+    let new_discovery = DiscoveryService::new();
+    let (pooler, old_discovery) = start_with_one_host(&host, &[]);
+    let old_address = old_discovery.address().to_string();
+    let new_address = new_discovery.address().to_string();
+    pooler.reload_while_missing(&Edit { from: &old_address, to: &new_address });
+    new_discovery.accept().expect_since(0);
+    pooler.expect_counters(" reloads=1 reload_failures=1");
+}
+
+/// The listener was once closed at the end of the grace period although clients at the limit of connections still
+/// waited to be accepted. Their connections were reset with the queries in them.
+#[test]
+fn a_client_that_waits_for_a_place_during_the_shutdown_is_answered() {
+    let host = DatabaseHost::new();
+    let (mut pooler, _discovery) = start_with_one_host(&host, &[THREE_CLIENTS]);
+    let mut clients: Vec<Connection> = (0..3).map(|_| connect_client(&pooler)).collect();
+    let mut backends = Vec::new();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.send(&Request::new(number, "reports").message());
+        let mut backend = host.accept();
+        backend.receive_query();
+        backends.push(backend);
+    }
+    let mut waiting = connect_without_startup(&pooler);
+    waiting.send(&[startup(), Request::new("3", "reports").message()].concat());
+    pooler.wait_for_log("all client connections are busy: new connections wait");
+    pooler.signal(Signal::Terminate);
+    // Longer than the grace period, so that a reset would be seen.
+    waiting.stream.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+    assert!(waiting.stream.read(&mut [0]).is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock));
+    waiting.stream.set_read_timeout(None).unwrap();
+    for (backend, client) in backends.iter_mut().zip(&mut clients) {
+        backend.send_result(BINARY_VALUE, Role::Reader);
+        client.expect_result();
+        client.expect_end();
+    }
+    waiting.receive_response();
+    waiting.expect_error("57P03");
+    waiting.expect_end();
+    assert_eq!(pooler.wait_for_exit().code(), Some(0));
+}
+
+/// The process may be killed 3.7 s after it was asked to end, whatever the deadlines.
+const EARLIEST_KILL: Duration = Duration::from_millis(3700);
+
+/// A query that came during the shutdown behind another one once waited for that to end, which could take longer than
+/// the process had to live.
+#[test]
+fn a_query_behind_a_long_one_is_answered_before_the_process_may_be_killed() {
+    let host = DatabaseHost::new();
+    let (mut pooler, _discovery) = start_with_one_host(&host, &[]);
+    let mut busy = connect_client(&pooler);
+    let mut alone = connect_client(&pooler);
+    let mut idle = connect_client(&pooler);
+    let mut backends = Vec::new();
+    for (id, client) in [("1", &mut busy), ("2", &mut alone)] {
+        client.send(&Request::new(id, "reports").message());
+        let mut backend = host.accept();
+        backend.expect_request(id);
+        backends.push(backend);
+    }
+    let asked_to_end = Instant::now();
+    pooler.signal(Signal::Terminate);
+    idle.expect_end_without_reset();
+    busy.send(&Request::new("3", "reports").message());
+    busy.expect_error("53300");
+    busy.expect_error("57P03");
+    assert!(asked_to_end.elapsed() < EARLIEST_KILL);
+    busy.expect_end();
+    // Nothing waits behind the other query, which may still be served.
+    backends[1].send_result(BINARY_VALUE, Role::Reader);
+    alone.expect_result();
+    alone.expect_end();
+    assert_eq!(pooler.wait_for_exit().code(), Some(0));
+}
