Close the listener of a pooler that ends only once no client waits in its queue

Cause: Frontend::start_shutdown accepted what it had room for and closed the listener. At the connection limit, or where accept failed for a moment, clients were left in the queue: closing the listener reset them, with the queries that they had sent.

Change: the listener stays open until accept finds the queue empty; clients are accepted as places become free, and what they send is answered (57P03 after the grace period). The process ends only after that.

--- a/src/net/frontend/acceptor.rs
+++ b/src/net/frontend/acceptor.rs
@@ -18,8 +18,10 @@
 
 /// The listening socket and what keeps it from accepting.
 pub(super) struct Acceptor {
-    /// None once the shutdown has started.
+    /// None once it is closed for the shutdown.
     listener: Option<TcpListener>,
+    /// Whether to close the listener as soon as no connection waits in its queue.
+    is_closing: bool,
     /// Whether connections wait in the listener's queue until there is room.
     connections_wait: bool,
     log_limiter: LogLimiter,
@@ -30,17 +32,31 @@
     pub(super) fn new(mut listener: TcpListener, context: &mut Context) -> io::Result<Acceptor> {
         let token = EventSource::Listener.into();
         context.reactor.registry.register(&mut listener, token, Interest::READABLE)?;
-        Ok(Acceptor { listener: Some(listener), connections_wait: false, log_limiter: LogLimiter::default() })
+        Ok(Acceptor {
+            listener: Some(listener),
+            is_closing: false,
+            connections_wait: false,
+            log_limiter: LogLimiter::default(),
+        })
     }
 
-    /// Closes the listening socket.
-    pub(super) fn close(&mut self) {
-        self.listener = None;
+    /// Has the listening socket closed once all connections that wait in its queue are accepted. Closing it earlier
+    /// would reset them, with the queries that their clients may have sent.
+    pub(super) fn start_closing(&mut self) {
+        self.is_closing = true;
     }
 
-    fn is_open(&self) -> bool {
+    /// Returns whether connections are still accepted.
+    pub(super) fn is_open(&self) -> bool {
         self.listener.is_some()
     }
+
+    /// Handles that no connection waits in the queue.
+    fn on_queue_empty(&mut self) {
+        if self.is_closing {
+            self.listener = None;
+        }
+    }
 }
 
 /// Where a new connection can be placed.
@@ -106,7 +122,10 @@
 
     fn handle_accept_error(&mut self, error: &io::Error, now: f64, context: &mut Context) -> ControlFlow<()> {
         match error.kind() {
-            ErrorKind::WouldBlock => ControlFlow::Break(()),
+            ErrorKind::WouldBlock => {
+                self.acceptor.on_queue_empty();
+                ControlFlow::Break(())
+            }
             // An aborted connection was closed by its client while it was still in the queue.
             ErrorKind::ConnectionAborted | ErrorKind::Interrupted => ControlFlow::Continue(()),
             _ => {
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -72,9 +72,9 @@
         })
     }
 
-    /// Returns whether no client is connected.
-    pub fn is_empty(&self) -> bool {
-        self.connections.len() == 0
+    /// Returns whether no client is connected and none is accepted any more.
+    pub fn is_finished(&self) -> bool {
+        self.connections.len() == 0 && !self.acceptor.is_open()
     }
 
     /// Handles a connection that has become readable or writable.
@@ -151,11 +151,11 @@
         self.finish_poll(id, result, context);
     }
 
-    /// Stops accepting and closes each connection as soon as all its queries are answered.
+    /// Stops accepting once no connection waits, and closes each one as soon as all its queries are answered.
     pub fn start_shutdown(&mut self, context: &mut Context) {
         // Connections and queries that have arrived by now are still served.
+        self.acceptor.start_closing();
         self.accept(context);
-        self.acceptor.close();
         self.service.shutdown_started_at = Some(context.reactor.now());
         let all: Vec<ConnectionId> = self.connections.iter().map(|(id, _)| id).collect();
         for id in all {
--- a/src/net/pooler/mod.rs
+++ b/src/net/pooler/mod.rs
@@ -123,6 +123,6 @@
     }
 
     fn finished(&self) -> bool {
-        self.shutdown == ShutdownState::Closing && self.frontend.is_empty()
+        self.shutdown == ShutdownState::Closing && self.frontend.is_finished()
     }
 }
