Read the configuration of a reload again while its file cannot be read

Cause: Pooler::reload read the file once for each SIGHUP. Where opening it failed for a moment (ENFILE, EMFILE, a file that is just being replaced), the new address of discovery was lost; the old service ends its connections 1.5 s later, and from 4 s on every change of the list counts as told.

Change: after an error of reading, the file is read again every 0.2 s for 4 s, until a reload succeeds. A file that is read and invalid is reported and left, as before.

--- a/src/net/pooler/mod.rs
+++ b/src/net/pooler/mod.rs
@@ -11,8 +11,6 @@
 mod signals;
 mod startup;
 
-use std::path::PathBuf;
-
 use signal_hook_mio::v1_0::Signals;
 
 use super::backend::Backend;
@@ -24,6 +22,7 @@
 use crate::Policy;
 use queries::QueryTranslator;
 use request_table::RequestTable;
+use signals::Reload;
 pub(crate) use startup::{serve, ServeError};
 
 /// How far the graceful shutdown has come.
@@ -50,8 +49,7 @@
     zones: Vec<String>,
     /// The timeout of a health check (seconds).
     health_check_timeout: f64,
-    /// The configuration file, for reloads.
-    config_path: PathBuf,
+    reload: Reload,
     shutdown: ShutdownState,
 }
 
@@ -118,6 +116,7 @@
             TimerEvent::Server(connection) => self.backend.timer_expired(connection, context),
             TimerEvent::Discovery(watch) => self.discovery.timer_expired(watch, context),
             TimerEvent::GracePeriodOver => self.on_grace_period_over(context),
+            TimerEvent::RetryReload => self.retry_reload(context),
         }
         self.process_events(context);
     }
--- a/src/net/pooler/signals.rs
+++ b/src/net/pooler/signals.rs
@@ -1,15 +1,34 @@
 //! Handles the signals of the process: graceful shutdown, reload and printing of the counters.
 
+use std::path::{Path, PathBuf};
+
 use signal_hook::consts::{SIGHUP, SIGUSR1};
 
 use super::{Pooler, ShutdownState};
-use crate::config::Config;
+use crate::config::{Config, ConfigError};
 use crate::net::reactor::TimerEvent;
 use crate::net::Context;
 
 /// How long connections and queries are accepted after the shutdown was requested (seconds). New connections
 /// arrive for up to 0.4 s; a query that arrives after 0.7 s is lost if it outlives the process.
 const SHUTDOWN_GRACE_PERIOD: f64 = 0.6;
+/// Interval between two attempts to read the configuration (seconds).
+const RELOAD_RETRY_INTERVAL: f64 = 0.2;
+/// How often a reload is tried again: for the 4 s after which discovery counts on the new address.
+const MAX_RELOAD_RETRIES: u32 = 20;
+
+/// The configuration file, and how often reading it may still be tried again for the last signal.
+pub(super) struct Reload {
+    path: PathBuf,
+    retries_left: u32,
+}
+
+impl Reload {
+    /// No reload is due.
+    pub fn new(path: &Path) -> Reload {
+        Reload { path: path.to_path_buf(), retries_left: 0 }
+    }
+}
 
 impl Pooler {
     /// Handles the signals that have been received.
@@ -25,22 +44,46 @@
         }
     }
 
-    /// Reads the configuration file again. Only the address of discovery takes effect; the rest holds from the
-    /// next start, since requests in progress were accepted under it. An invalid file changes nothing.
+    /// Reads the configuration file again. An invalid file changes nothing. One that cannot be read is tried again:
+    /// the system may lack a descriptor for a moment.
     fn reload(&mut self, context: &mut Context) {
-        match Config::load(&self.config_path) {
-            Ok(config) => {
-                context.counters.reloads += 1;
-                tracing::info!(discovery = %config.discovery, "configuration reloaded");
-                self.discovery.move_to(config.discovery, context);
-            }
-            Err(error) => {
-                context.counters.reload_failures += 1;
-                tracing::warn!(%error, "reload failed, keeping the configuration");
+        if let Err(error) = self.try_reload(context) {
+            context.counters.reload_failures += 1;
+            tracing::warn!(%error, "reload failed, keeping the configuration");
+            if matches!(error, ConfigError::Read { .. }) {
+                self.reload.retries_left = MAX_RELOAD_RETRIES;
+                self.schedule_reload(context);
             }
         }
     }
 
+    /// Tries a reload again that has failed, unless another one has succeeded since.
+    pub(super) fn retry_reload(&mut self, context: &mut Context) {
+        if self.reload.retries_left == 0 {
+            return;
+        }
+        self.reload.retries_left -= 1;
+        if self.try_reload(context).is_err() {
+            self.schedule_reload(context);
+        }
+    }
+
+    /// Takes the address of discovery from the configuration file. The rest holds from the next start, since requests
+    /// in progress were accepted under it.
+    fn try_reload(&mut self, context: &mut Context) -> Result<(), ConfigError> {
+        let config = Config::load(&self.reload.path)?;
+        self.reload.retries_left = 0;
+        context.counters.reloads += 1;
+        tracing::info!(discovery = %config.discovery, "configuration reloaded");
+        self.discovery.move_to(config.discovery, context);
+        Ok(())
+    }
+
+    fn schedule_reload(&mut self, context: &mut Context) {
+        let at = context.reactor.now() + RELOAD_RETRY_INTERVAL;
+        context.reactor.set_timer(at, TimerEvent::RetryReload);
+    }
+
     /// Starts the grace period, unless a shutdown was requested before.
     fn start_shutdown(&mut self, context: &mut Context) {
         if self.shutdown != ShutdownState::Running {
--- a/src/net/pooler/startup.rs
+++ b/src/net/pooler/startup.rs
@@ -11,6 +11,7 @@
 
 use super::queries::QueryTranslator;
 use super::request_table::RequestTable;
+use super::signals::Reload;
 use super::{Pooler, ShutdownState};
 use crate::config::Config;
 use crate::counters::Counters;
@@ -93,7 +94,7 @@
             queries: QueryTranslator::new(config),
             zones: config.zones.clone(),
             health_check_timeout: settings.connect_timeout,
-            config_path: path.to_path_buf(),
+            reload: Reload::new(path),
             shutdown: ShutdownState::Running,
         };
         let cached_endpoints = config.known.endpoints.clone();
--- a/src/net/reactor/timers.rs
+++ b/src/net/reactor/timers.rs
@@ -22,6 +22,8 @@
     Discovery(ConnectionId),
     /// The grace period of the shutdown is over.
     GracePeriodOver,
+    /// Reading the configuration is tried again after an error.
+    RetryReload,
 }
 
 /// A timer in the queue. Timers are ordered by time, and at the same time by the order in which they were
