Answer what waits behind a long query before a process that ends may be killed

Cause: a connection carries one query at a time. One that comes on a busy connection during the shutdown is refused only when its turn comes. The kill may come 0.7 s after the longest deadline, which counts as 3 s at most: behind a query of a longer class (8 s here) it would find a request unanswered that came more than 0.7 s after SIGTERM, which is lost.

Change: 0.3 s before the earliest kill the pooler gives up each request behind which input waits, and looks again every 50 ms. The policy says how (new event Expired): rejected where a repeat is harmless, else failed. A long request with nothing behind it may still be served.

--- a/src/interface/event.rs
+++ b/src/interface/event.rs
@@ -82,6 +82,11 @@
         /// Its request.
         id: RequestId,
     },
+    /// The program ends soon and cannot wait for the request any longer: it needs its final answer now.
+    Expired {
+        /// The request.
+        id: RequestId,
+    },
     /// A timer has expired.
     Timer {
         /// The cookie that it was set with.
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -163,6 +163,14 @@
         }
     }
 
+    /// Returns the clients whose running query has more input behind it.
+    pub fn clients_with_waiting_input(&self) -> Vec<ConnectionId> {
+        let has_waiting_input =
+            |connection: &Connection| connection.state == State::Busy && !connection.input.is_empty();
+        let waiting = self.connections.iter().filter(|(_, connection)| has_waiting_input(connection));
+        waiting.map(|(id, _)| id).collect()
+    }
+
     /// Completes a poll: closes a drained connection during the shutdown, updates the client's deadline,
     /// removes a connection that is closed and accepts waiting connections if there may be room now.
     fn finish_poll(
--- a/src/net/pooler/mod.rs
+++ b/src/net/pooler/mod.rs
@@ -49,6 +49,8 @@
     zones: Vec<String>,
     /// The timeout of a health check (seconds).
     health_check_timeout: f64,
+    /// The longest deadline of any class of requests (seconds).
+    longest_deadline: f64,
     reload: Reload,
     shutdown: ShutdownState,
 }
@@ -116,6 +118,7 @@
             TimerEvent::Server(connection) => self.backend.timer_expired(connection, context),
             TimerEvent::Discovery(watch) => self.discovery.timer_expired(watch, context),
             TimerEvent::GracePeriodOver => self.on_grace_period_over(context),
+            TimerEvent::KillImminent => self.end_blocking_requests(context),
             TimerEvent::RetryReload => self.retry_reload(context),
         }
         self.process_events(context);
--- a/src/net/pooler/request_table/mod.rs
+++ b/src/net/pooler/request_table/mod.rs
@@ -134,6 +134,11 @@
         Some(AbandonedRequest { id, connections })
     }
 
+    /// The request that a client waits for, if any.
+    pub fn request_of(&self, client: ConnectionId) -> Option<RequestId> {
+        self.by_client.get(&client).cloned()
+    }
+
     /// The client that is owed the final answer, which is to be sent now; none where there is no such client.
     pub fn take_client(&mut self, id: &str) -> Option<ConnectionId> {
         let client = self.requests.get_mut(id)?.client.take()?;
--- a/src/net/pooler/signals.rs
+++ b/src/net/pooler/signals.rs
@@ -6,12 +6,21 @@
 
 use super::{Pooler, ShutdownState};
 use crate::config::{Config, ConfigError};
+use crate::interface;
 use crate::net::reactor::TimerEvent;
 use crate::net::Context;
 
 /// How long connections and queries are accepted after the shutdown was requested (seconds). New connections
 /// arrive for up to 0.4 s; a query that arrives after 0.7 s is lost if it outlives the process.
 const SHUTDOWN_GRACE_PERIOD: f64 = 0.6;
+/// The process is killed at the earliest this long after the shutdown was requested and the longest deadline, which
+/// counts up to [`MAX_COUNTED_DEADLINE`] (seconds).
+const KILL_DELAY: f64 = 0.7;
+const MAX_COUNTED_DEADLINE: f64 = 3.0;
+/// How long before the earliest kill the queries are answered that wait behind others (seconds).
+const KILL_MARGIN: f64 = 0.3;
+/// Interval at which queries behind others are looked for from then on (seconds).
+const BLOCKING_REQUEST_INTERVAL: f64 = 0.05;
 /// Interval between two attempts to read the configuration (seconds).
 const RELOAD_RETRY_INTERVAL: f64 = 0.2;
 /// How often a reload is tried again: for the 4 s after which discovery counts on the new address.
@@ -91,8 +100,10 @@
         }
         self.shutdown = ShutdownState::GracePeriod;
         tracing::info!("graceful shutdown started");
-        let grace_period_end = context.reactor.now() + SHUTDOWN_GRACE_PERIOD;
-        context.reactor.set_timer(grace_period_end, TimerEvent::GracePeriodOver);
+        let now = context.reactor.now();
+        context.reactor.set_timer(now + SHUTDOWN_GRACE_PERIOD, TimerEvent::GracePeriodOver);
+        let earliest_kill = now + self.longest_deadline.min(MAX_COUNTED_DEADLINE) + KILL_DELAY;
+        context.reactor.set_timer(earliest_kill - KILL_MARGIN, TimerEvent::KillImminent);
     }
 
     /// Stops accepting connections and closes each open one once its queries are answered.
@@ -100,4 +111,16 @@
         self.shutdown = ShutdownState::Closing;
         self.frontend.start_shutdown(context);
     }
+
+    /// Ends each request behind which others wait on its connection. These came during the shutdown and are owed an
+    /// answer before the process is killed; the first one came earlier and is not.
+    pub(super) fn end_blocking_requests(&mut self, context: &mut Context) {
+        for client in self.frontend.clients_with_waiting_input() {
+            if let Some(id) = self.requests.request_of(client) {
+                self.notify_policy(interface::Event::Expired { id }, context);
+            }
+        }
+        let at = context.reactor.now() + BLOCKING_REQUEST_INTERVAL;
+        context.reactor.set_timer(at, TimerEvent::KillImminent);
+    }
 }
--- a/src/net/pooler/startup.rs
+++ b/src/net/pooler/startup.rs
@@ -94,6 +94,7 @@
             queries: QueryTranslator::new(config),
             zones: config.zones.clone(),
             health_check_timeout: settings.connect_timeout,
+            longest_deadline: settings.longest_deadline(),
             reload: Reload::new(path),
             shutdown: ShutdownState::Running,
         };
--- a/src/net/reactor/timers.rs
+++ b/src/net/reactor/timers.rs
@@ -22,6 +22,8 @@
     Discovery(ConnectionId),
     /// The grace period of the shutdown is over.
     GracePeriodOver,
+    /// The process may soon be killed: no query may wait behind another.
+    KillImminent,
     /// Reading the configuration is tried again after an error.
     RetryReload,
 }
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::primary_search::HEALTH_CHECKS_PER_REQUEST;
 use super::{NoRoute, Policy, Route, SAMPLE_WEIGHT};
-use crate::interface::{Action, Request};
+use crate::interface::{Action, Request, RequestId};
 use crate::state::{Attempt, EndpointKey, PendingRequest, RequestKey};
 
 /// Retry tokens earned by each request: 10% more attempts cannot amplify an overload.
@@ -57,6 +57,14 @@
         }
     }
 
+    /// Gives up a request for which the program has no more time.
+    pub(super) fn request_expired(&mut self, id: &RequestId) {
+        let Some(key) = self.requests.key(id) else { return };
+        if self.requests.unfinished_mut(key).is_some() {
+            self.reject_or_fail(key);
+        }
+    }
+
     /// Routes a request that has no attempt in flight, or gives it up.
     pub(super) fn dispatch(&mut self, key: RequestKey) {
         let Some(request) = self.requests.get(key).filter(|request| !request.in_flight()) else { return };
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -65,6 +65,7 @@
             Event::ResponseStarted { id } | Event::ClientDisconnected { id } => {
                 self.requests.finish_by_id(&id)
             }
+            Event::Expired { id } => self.request_expired(&id),
             Event::Timer { cookie: HOUSEKEEPING_COOKIE } => self.housekeep(),
             Event::Timer { cookie } => self.request_timer_expired(cookie),
         }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -207,6 +207,11 @@
         }
     }
 
+    /// The longest deadline of any class (seconds).
+    pub fn longest_deadline(&self) -> f64 {
+        self.classes.iter().map(|class| class.deadline).fold(0.0, f64::max)
+    }
+
     /// Capacity of an endpoint so long after its start, as a share of its full one.
     pub fn capacity_after(&self, time: f64) -> f64 {
         if time >= self.slow_start_window {
--- a/tests/policy/invariants/checker.rs
+++ b/tests/policy/invariants/checker.rs
@@ -69,7 +69,7 @@
                     self.coverage.abandoned_attempts += usize::from(abandoned);
                 }
             }
-            Event::HealthChecked { .. } | Event::Timer { .. } => {}
+            Event::HealthChecked { .. } | Event::Expired { .. } | Event::Timer { .. } => {}
         }
     }
 
--- a/tests/policy/retries.rs
+++ b/tests/policy/retries.rs
@@ -252,3 +252,19 @@
     sim.advance_time(1.7);
     assert_eq!(sent_endpoints(&sim.actions).len(), 1);
 }
+
+/// A program that ends cannot wait for an answer.
+#[test]
+fn an_expired_request_gets_its_final_answer_at_once() {
+    let mut sim = Simulation::new(default_settings());
+    for (id, class) in [("read", EVENTUAL_READ), ("write", NON_IDEMPOTENT_WRITE)] {
+        assert_eq!(sent_endpoints(&sim.request(id, class)).len(), 1);
+    }
+    let expire = |sim: &mut Simulation, id: &str| sim.handle(Event::Expired { id: id.into() });
+    let read = expire(&mut sim, "read");
+    assert!(matches!(&read[..], [Action::Reject { .. }]), "a repeat is harmless: {read:?}");
+    let write = expire(&mut sim, "write");
+    assert_eq!(write, [Action::Fail { id: "write".into() }], "it may have been executed");
+    assert_eq!(expire(&mut sim, "write"), []);
+    assert_eq!(expire(&mut sim, "unknown"), []);
+}
