--- a/tests/loopback/cancellation.rs
+++ b/tests/loopback/cancellation.rs
@@ -80,3 +80,19 @@
     backend.send_result(BINARY_VALUE, Role::Reader);
     other.expect_result();
 }
+
+/// Of events that came together, the readiness of a connection to a host was once handled before the end of the client
+/// that its query was for.
+#[test]
+fn a_query_is_not_sent_if_its_client_has_disconnected_while_the_pooler_was_held_up() {
+    let host = DatabaseHost::new();
+    let (pooler, _discovery) = start_with_one_host(&host, &[]);
+    let mut client = connect_client(&pooler);
+    client.send(&Request::new("1", "reports").message());
+    let mut backend = host.accept_unanswered_startup();
+    pooler.signal(Signal::Stop);
+    backend.complete_startup();
+    drop(client);
+    pooler.signal(Signal::Continue);
+    backend.expect_end_without_query();
+}
--- a/tests/loopback/discovery.rs
+++ b/tests/loopback/discovery.rs
@@ -1,6 +1,6 @@
 //! The watch of the endpoint list: lists, failures and silence.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
@@ -185,3 +185,41 @@
     complete_read(&new, &mut connect_client(&pooler));
     drop(crowd);
 }
+
+/// A connection to a host that began to drain while the session was being started once got its query as soon as it was
+/// ready, which the connect timeout allows for any time after the notice.
+#[test]
+fn a_connection_that_is_not_ready_when_its_host_drains_carries_no_query() {
+    let near = DatabaseHost::new();
+    let far = DatabaseHost::new();
+    let (pooler, discovery) = start_with_two_hosts(&near, &far);
+    let mut client = connect_client(&pooler);
+    client.send(&Request::new("1", "reports").message());
+    let mut unready = near.accept_unanswered_startup();
+    discovery.accept().send_list(&draining(&near));
+    let mut backend = far.accept();
+    unready.complete_startup();
+    unready.expect_end_without_query();
+    backend.expect_request("1");
+    backend.send_result(BINARY_VALUE, Role::Reader);
+    client.expect_result();
+    pooler.expect_counters(" connect_failed=0 connection_reset=0 cancelled=0 not_sent=1 ");
+}
+
+/// How long a slow discovery service takes for the first byte of its response.
+const SLOW_RESPONSE: Duration = Duration::from_millis(1500);
+
+/// Each watch was once given the same time, so that a service that takes longer never told anything.
+#[test]
+fn a_slow_discovery_service_is_given_more_time_after_a_failure() {
+    let host = DatabaseHost::new();
+    let (pooler, discovery) = start_with_one_host(&host, &[]);
+    let mut idle = complete_read(&host, &mut connect_client(&pooler));
+    let mut first = discovery.accept();
+    assert_eq!(first.stream.read(&mut [0]).unwrap(), 0, "the pooler gives up the first watch");
+    let mut second = discovery.accept();
+    second.stream.set_read_timeout(Some(SLOW_RESPONSE)).unwrap();
+    assert!(second.stream.read(&mut [0]).is_err(), "the pooler still waits");
+    second.send_list(&draining(&host));
+    idle.expect_end();
+}
