Handle the ends of clients before the other events of a poll

Cause: events of one poll were handled in the order in which the kernel had them. After a hold-up of the process a host's connection could become ready and carry a query whose client had left up to the whole hold-up ago; an attempt that begins more than 0.1 s after that is lost.

Change: reactor::run hands out the hang-ups of clients first.

--- a/src/net/reactor/mod.rs
+++ b/src/net/reactor/mod.rs
@@ -81,14 +81,23 @@
             Err(error) if error.kind() == ErrorKind::Interrupted => continue,
             result => result?,
         }
-        for event in &events {
-            handler.ready(event.token().into(), event.is_read_closed(), context);
-        }
+        handle_poll_events(&events, handler, context);
         handle_expired_timers(handler, context);
     }
     Ok(())
 }
 
+/// Handles the events of one poll. Clients that have gone come first: other events may be what their queries were
+/// waiting for, and nothing must be sent for them any more.
+fn handle_poll_events(events: &Events, handler: &mut impl Handler, context: &mut Context) {
+    let ready = events.iter().map(|event| (EventSource::from(event.token()), event.is_read_closed()));
+    let (gone, others): (Vec<_>, Vec<_>) =
+        ready.partition(|(source, hung_up)| *hung_up && source.is_client());
+    for (source, hung_up) in gone.into_iter().chain(others) {
+        handler.ready(source, hung_up, context);
+    }
+}
+
 /// Handles the timers that have expired by now. The clock is read once: a timer that a handler sets for its
 /// own present time waits for the next round, so that the sockets are polled in between.
 fn handle_expired_timers(handler: &mut impl Handler, context: &mut Context) {
--- a/src/net/reactor/tokens.rs
+++ b/src/net/reactor/tokens.rs
@@ -35,6 +35,13 @@
     Discovery(ConnectionId),
 }
 
+impl EventSource {
+    /// Whether this is the connection of a client.
+    pub fn is_client(self) -> bool {
+        matches!(self, EventSource::Client(_))
+    }
+}
+
 impl From<EventSource> for Token {
     fn from(source: EventSource) -> Token {
         match source {
