Send no query to a host that began to drain while its connection was being set up

Cause: Pool::update_endpoints closed the idle connections to a host that drains. An attempt whose connection was still being established, or whose query was still being written, went on: its query reached the host when the connection came up. With a connect timeout of more than 2 s that is later than the 2 s that the rule on drains allows after the notice.

Change: such attempts end as not sent when the list says that the host drains or is gone, and the policy sends them elsewhere.

--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -57,9 +57,18 @@
         }
     }
 
-    /// Applies an update of the endpoint list.
-    pub fn update_endpoints(&mut self, kind: UpdateKind, endpoints: &[ListedEndpoint], now: f64) {
-        self.pool.update_endpoints(kind, endpoints, now);
+    /// Applies an update of the endpoint list. Queries that wait for a connection to a host which takes no requests any
+    /// more are not sent.
+    pub fn update_endpoints(
+        &mut self,
+        kind: UpdateKind,
+        endpoints: &[ListedEndpoint],
+        context: &mut Context,
+    ) {
+        self.pool.update_endpoints(kind, endpoints, context.reactor.now());
+        for id in self.pool.unsent_to_leaving_hosts() {
+            self.handle_progress(id, Progress::Failed(Outcome::NotSent), context);
+        }
     }
 
     /// Closes the idle connections to a database host.
--- a/src/net/backend/pool.rs
+++ b/src/net/backend/pool.rs
@@ -22,6 +22,8 @@
     last_listed_at: f64,
     /// Whether it has left the endpoint list.
     removed: bool,
+    /// Whether it is listed as serving.
+    takes_requests: bool,
     /// Connections that are ready for a query, the most recently used one last.
     idle: Vec<ConnectionId>,
 }
@@ -33,6 +35,7 @@
             started_at: listed.started_at,
             last_listed_at: now,
             removed: false,
+            takes_requests: true,
             idle: Vec::new(),
         }
     }
@@ -55,7 +58,10 @@
     /// drain or left are closed: a host that was cut off leaves them open and silent.
     pub fn update_endpoints(&mut self, kind: UpdateKind, endpoints: &[ListedEndpoint], now: f64) {
         if kind != UpdateKind::Delta {
-            self.hosts.values_mut().for_each(|host| host.removed = true);
+            for host in self.hosts.values_mut() {
+                host.removed = true;
+                host.takes_requests = false;
+            }
         }
         for listed in endpoints {
             self.update_endpoint(listed, now);
@@ -78,11 +84,22 @@
         host.started_at = listed.started_at;
         host.last_listed_at = now;
         host.removed = listed.status == EndpointStatus::Removed;
+        host.takes_requests = listed.status == EndpointStatus::Serving;
         if connections_are_stale {
             self.close_idle_connections(&listed.name);
         }
     }
 
+    /// The connections to hosts that drain or were removed whose query is not sent yet.
+    pub fn unsent_to_leaving_hosts(&self) -> Vec<ConnectionId> {
+        let is_leaving = |endpoint| self.hosts.get(endpoint).is_none_or(|host| !host.takes_requests);
+        let unsent = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| connection.has_unsent_query() && is_leaving(&connection.endpoint));
+        unsent.map(|(id, _)| id).collect()
+    }
+
     /// Closes the idle connections to a host.
     pub fn close_idle_connections(&mut self, endpoint: &EndpointId) {
         let Some(host) = self.hosts.get_mut(endpoint) else { return };
--- a/src/net/pooler/endpoints.rs
+++ b/src/net/pooler/endpoints.rs
@@ -17,7 +17,7 @@
             context.counters.watch_failures += 1;
         } else {
             context.counters.endpoint_updates += 1;
-            self.backend.update_endpoints(kind, &endpoints, context.reactor.now());
+            self.backend.update_endpoints(kind, &endpoints, context);
         }
         let any_serving = endpoints.iter().any(|listed| listed.status == EndpointStatus::Serving);
         let endpoints = endpoints.into_iter().map(|listed| self.endpoint(listed)).collect();
