Accept endpoint lists of two megabytes: the largest fleet's, indented, takes more than one

Cause: MAX_LIST_LENGTH was 1 MiB.

Change: 2 MiB. Test: an_indented_list_of_the_largest_fleet_is_read (ListTooLarge before).

--- a/src/net/discovery/list_splitter.rs
+++ b/src/net/discovery/list_splitter.rs
@@ -3,8 +3,8 @@
 use super::error::WatchError;
 use crate::json::MAX_DEPTH;
 
-/// Longest text of an endpoint list (bytes).
-pub(super) const MAX_LIST_LENGTH: usize = 1024 * 1024;
+/// Longest text of an endpoint list (bytes). An indented list of 3,200 hosts takes more than a megabyte.
+pub(super) const MAX_LIST_LENGTH: usize = 2 * 1024 * 1024;
 
 /// A complete message that was received over a watch.
 #[derive(Debug, PartialEq, Eq)]
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -90,3 +90,27 @@
     assert_eq!(parse(&text, 1000).1, Err(error));
     assert_eq!(parse(&text, 1).1, Err(error));
 }
+
+/// The longest list that a fleet of hosts may have, with an indentation of eight spaces.
+#[test]
+fn an_indented_list_of_the_largest_fleet_is_read() {
+    const MAX_HOSTS: usize = 3200;
+    let entry = r#"{
+                "name": "s-5be2a07c",
+                "address": "127.100.100.100:65535",
+                "zone": "a-zone-with-a-long-name",
+                "type": "m2",
+                "group": 3199,
+                "status": "DRAINING",
+                "weight": 1.0,
+                "access": "writer",
+                "since_ms": 1767225600123
+        }"#;
+    let entries = vec![entry; MAX_HOSTS].join(",\n        ");
+    let text = format!(
+        "{{\n        \"index\": 41,\n        \"snapshot\": true,\n        \"endpoints\": [{entries}]\n}}\n"
+    );
+    let updates = split(text.as_bytes(), 65_536).unwrap();
+    let Some(Update::List(list)) = updates.first() else { panic!("no list among {} updates", updates.len()) };
+    assert_eq!(decode_list(list).unwrap().endpoints.len(), MAX_HOSTS);
+}
