Give a slow discovery service more time after a watch that failed

Cause: each watch had 1.0 s until its response begins and 2.8 s for a list that has begun. A service that is slow or crowded and takes longer was called again for ever and told nothing, although it could be reached.

Change: a watch that follows a failed one has 2.5 times as long for both. The first one after a list or a heartbeat keeps the short times, so that a silent watch is replaced as soon as before; where the second is silent too, the third is opened 1.5 s later than before.

--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -18,7 +18,7 @@
 use crate::json;
 use error::WatchError;
 use list_splitter::Update;
-use watch::{Watch, RESPONSE_HEAD_TIMEOUT};
+use watch::{Watch, WatchTimeouts};
 
 /// Keeps at most one watch on the endpoint list, and the version of the list that was last received.
 pub(crate) struct Discovery {
@@ -58,7 +58,8 @@
     fn open(&mut self, context: &mut Context) -> Result<(), WatchError> {
         let stream = TcpStream::connect(self.address).map_err(|_| WatchError::NotConnected)?;
         let now = context.reactor.now();
-        let id = self.watches.insert(Watch::new(stream, &self.budget, now));
+        let timeouts = WatchTimeouts::new(self.last_error.is_some());
+        let id = self.watches.insert(Watch::new(stream, &self.budget, timeouts, now));
         self.current = Some(id);
         let watch = self.watches.get_mut(id).ok_or(WatchError::NotConnected)?;
         watch.request_changes(self.index, self.address).map_err(|_| WatchError::NotConnected)?;
@@ -67,7 +68,7 @@
         registry
             .register(&mut watch.stream, EventSource::Discovery(id).into(), interest)
             .map_err(|_| WatchError::NotConnected)?;
-        context.reactor.set_timer(now + RESPONSE_HEAD_TIMEOUT, TimerEvent::Discovery(id));
+        context.reactor.set_timer(now + timeouts.head, TimerEvent::Discovery(id));
         Ok(())
     }
 
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -17,9 +17,28 @@
 /// A watch on which nothing is received for this time is closed (seconds). A heartbeat is due every 2 s.
 const SILENCE_TIMEOUT: f64 = 2.8;
 /// A watch whose response has not begun after this time is closed (seconds). Its head is sent at once.
-pub(super) const RESPONSE_HEAD_TIMEOUT: f64 = 1.0;
+const RESPONSE_HEAD_TIMEOUT: f64 = 1.0;
 /// A watch on which a list has begun and is not complete after this time is closed (seconds).
 const LIST_TIMEOUT: f64 = 2.8;
+/// The timeouts of a watch that follows a failed one are longer by this factor, since the service may be slow.
+const RETRY_TIMEOUT_FACTOR: f64 = 2.5;
+
+/// How long each part of the response to a watch may take (seconds).
+#[derive(Clone, Copy)]
+pub(super) struct WatchTimeouts {
+    /// Until the response begins.
+    pub head: f64,
+    /// Until a list that has begun is complete.
+    list: f64,
+}
+
+impl WatchTimeouts {
+    /// The timeouts of a watch that follows a failed one, or not.
+    pub fn new(follows_failure: bool) -> WatchTimeouts {
+        let factor = if follows_failure { RETRY_TIMEOUT_FACTOR } else { 1.0 };
+        WatchTimeouts { head: RESPONSE_HEAD_TIMEOUT * factor, list: LIST_TIMEOUT * factor }
+    }
+}
 
 /// The connection of a watch.
 pub(super) struct Watch {
@@ -34,11 +53,12 @@
     last_received_at: f64,
     /// When the list began that is not complete yet.
     list_started_at: Option<f64>,
+    timeouts: WatchTimeouts,
 }
 
 impl Watch {
     /// A watch whose request has not been sent yet.
-    pub fn new(stream: TcpStream, budget: &MemoryBudget, now: f64) -> Watch {
+    pub fn new(stream: TcpStream, budget: &MemoryBudget, timeouts: WatchTimeouts, now: f64) -> Watch {
         Watch {
             stream,
             input: RingBuffer::new(budget),
@@ -48,6 +68,7 @@
             answered: false,
             last_received_at: now,
             list_started_at: None,
+            timeouts,
         }
     }
 
@@ -62,9 +83,9 @@
     /// When the watch has to be closed if nothing more is received until then.
     pub fn deadline(&self) -> f64 {
         if !self.response.has_head() {
-            return self.last_received_at + RESPONSE_HEAD_TIMEOUT;
+            return self.last_received_at + self.timeouts.head;
         }
-        let list_deadline = self.list_started_at.map_or(f64::INFINITY, |start| start + LIST_TIMEOUT);
+        let list_deadline = self.list_started_at.map_or(f64::INFINITY, |start| start + self.timeouts.list);
         list_deadline.min(self.last_received_at + SILENCE_TIMEOUT)
     }
 
