Test queries that wait in the output buffer and timeouts shorter than an answer: they fail

- A query that its host does not read waits in the buffer until its deadline, and then says a time that is long over.
- Two requests with 20 ms left that a host drops without a word eject it, the primary too.

--- a/src/net/backend/connection.rs
+++ b/src/net/backend/connection.rs
@@ -293,3 +293,6 @@
         Outcome::ConnectFailed
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/policy/outlier_detection.rs
+++ b/tests/policy/outlier_detection.rs
@@ -1,6 +1,6 @@
 //! Failure scores, the ejection of outliers, trial requests and reinstatement.
 
-use pg_pooler::interface::{Action, Outcome};
+use pg_pooler::interface::{Action, Event, Outcome};
 use pg_pooler::settings::Settings;
 
 use crate::harness::{
@@ -157,3 +157,16 @@
     assert!(closes_idle_connections(1000));
     assert!(!closes_idle_connections(20), "a small fleet keeps them: a new connection can be slow");
 }
+
+/// A host may drop a request with very little time left without a word. Two such requests once ejected it.
+#[test]
+fn timeouts_that_are_shorter_than_an_answer_takes_eject_no_endpoint() {
+    let mut sim = Simulation::new(default_settings());
+    for i in 0..5 {
+        let id = format!("short{i}");
+        assert_eq!(sent_endpoints(&sim.handle(Event::request(&id, KEYED_WRITE, 0, 0.02))), [PRIMARY]);
+        sim.advance_time(0.02);
+        sim.finish_attempt_with(FinishedAttempt::new(&id, PRIMARY, Outcome::Timeout).elapsed(0.02));
+    }
+    assert_eq!(sent_endpoints(&sim.request("good", KEYED_WRITE)), [PRIMARY]);
+}
