Give up a query that waits in the output buffer for 0.1 s, before its told time is wrong

Cause: Connection::send_query wrote the time that is left into the query and queued it until the attempt's deadline. Where the host reads slowly, its last byte left up to that much later: the host was told more time than the client had, by more than the 0.15 s of slack. A query could also be queued after its deadline, with 1 ms.

Change: a query that is not completely written 0.1 s after it was queued ends as not connected (its host has not got all of it), also where the pooler was held up meanwhile; one whose time is over is not sent. Once it is written, it has all its time.

--- a/src/net/backend/connection.rs
+++ b/src/net/backend/connection.rs
@@ -18,6 +18,10 @@
 /// The body of an Authentication message that asks for nothing more.
 const AUTHENTICATION_OK: [u8; 4] = [0; 4];
 
+/// How long a query may wait in the output buffer (seconds). It says how much time its client has left, and hosts may
+/// be told at most 0.15 s more than that.
+const SEND_TIMEOUT: f64 = 0.1;
+
 /// How far an exchange has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Progress {
@@ -163,8 +167,8 @@
             }
         }
         loop {
-            if self.output.write_to(&mut self.stream).is_err() {
-                return self.connection_lost();
+            if let Err(progress) = self.write_output(now) {
+                return progress;
             }
             // What was received before a reset is still processed.
             let read = self.input.read_from(&mut self.stream).unwrap_or(ReadStatus::EndOfStream);
@@ -187,6 +191,22 @@
         }
     }
 
+    /// Writes as much as possible. A query that was not written in time must not be written any more. Once one is
+    /// written, its exchange has all its time.
+    fn write_output(&mut self, now: f64) -> Result<(), Progress> {
+        let is_query_waiting = self.state.is_busy() && !self.is_output_sent();
+        if is_query_waiting && now >= self.state_deadline {
+            return Err(Progress::Failed(Outcome::ConnectFailed));
+        }
+        self.output.write_to(&mut self.stream).map_err(|_| self.connection_lost())?;
+        if let State::Busy { exchange, response_started: false, .. } = &self.state {
+            if is_query_waiting && self.is_output_sent() {
+                self.state_deadline = exchange.deadline;
+            }
+        }
+        Ok(())
+    }
+
     /// Checks whether the TCP connection has been established; if so, queues the startup message.
     fn finish_connecting(&mut self) -> ConnectStatus {
         match self.stream.take_error() {
@@ -207,11 +227,15 @@
         }
     }
 
-    /// Queues the query of an exchange. Fails without sending any of it if memory is short.
+    /// Queues the query of an exchange. Fails without sending any of it if its time is over or memory is short.
     fn send_query(&mut self, exchange: Exchange, now: f64) -> Progress {
+        let is_expired = now >= exchange.deadline;
         let query = exchange.query_message(now);
-        self.state_deadline = exchange.deadline;
+        self.state_deadline = exchange.deadline.min(now + SEND_TIMEOUT);
         self.state = State::busy(exchange);
+        if is_expired {
+            return Progress::Failed(Outcome::NotSent);
+        }
         match self.output.push(&query) {
             Ok(()) => Progress::Pending,
             Err(_) => Progress::Failed(Outcome::NotSent),
--- a/src/net/backend/state.rs
+++ b/src/net/backend/state.rs
@@ -43,6 +43,11 @@
         matches!(self, State::Idle)
     }
 
+    /// Whether a query is queued or sent.
+    pub fn is_busy(&self) -> bool {
+        matches!(self, State::Busy { .. })
+    }
+
     /// Whether the session is being started.
     pub fn is_starting(&self) -> bool {
         matches!(self, State::Starting(_))
