Count a timeout as the silence of its endpoint only if an answer takes less time

Cause: Policy::record_result counted each timed-out attempt as a failure if its endpoint had answered nothing since it was sent, however short the timeout was.

Change: a timeout counts from two deviations above the mean latency of its class on (LATE_DEVIATIONS, as for silent endpoints).

--- a/src/policy/overdue.rs
+++ b/src/policy/overdue.rs
@@ -11,7 +11,7 @@
 /// ... or at this share of its latency objective, which leaves time for a retry within it.
 const OVERDUE_OBJECTIVE: f64 = 0.6;
 /// An attempt at a silent endpoint counts as late at this many deviations.
-const LATE_DEVIATIONS: f64 = 2.0;
+pub(super) const LATE_DEVIATIONS: f64 = 2.0;
 /// An endpoint counts as silent if it has answered nothing since an attempt that is this late.
 const SILENT_DEVIATIONS: f64 = 6.0;
 const MAX_REPLACED_ATTEMPTS: usize = 3;
--- a/src/policy/results.rs
+++ b/src/policy/results.rs
@@ -1,6 +1,7 @@
 //! What the end of an attempt tells of its endpoint, and whether the request is retried.
 
 use super::outlier_detection::{CONNECTION_LOST, CONNECTION_RESET, EJECTION_SCORE, FAILURE};
+use super::overdue::LATE_DEVIATIONS;
 use super::{Policy, SAMPLE_WEIGHT};
 use crate::interface::{Action, AttemptResult, LoadReport, Outcome};
 use crate::state::{Attempt, EndpointKey, RequestKey};
@@ -55,7 +56,9 @@
             Outcome::ConnectionReset => self.record_failure(endpoint, CONNECTION_RESET),
             Outcome::Timeout | Outcome::Cancelled => {
                 state.load.abandoned.push(now + latency.mean + latency.deviation);
-                if result.outcome == Outcome::Timeout && !attempt.cancelled {
+                // A timeout that is shorter than an answer takes tells nothing, such as that of a late request.
+                let is_telling = result.elapsed > latency.upper(LATE_DEVIATIONS);
+                if result.outcome == Outcome::Timeout && !attempt.cancelled && is_telling {
                     state.load.sample_latency_ratio(ratio, SAMPLE_WEIGHT);
                     // An endpoint that still answers is overloaded; ejecting it would overload the others.
                     if state.is_silent_since(attempt.sent_at) {
