--- a/tests/policy/retries.rs
+++ b/tests/policy/retries.rs
@@ -5,9 +5,10 @@
 use rstest::rstest;
 
 use crate::harness::{
-    default_settings, final_answers, first_endpoint, primary, replica, sent_endpoints, FinishedAttempt,
-    Simulation, BOUNDED_READ, EVENTUAL_READ, KEYED_WRITE, LOCAL_REPLICA, LOCAL_ZONE, NON_IDEMPOTENT_WRITE,
-    NOWHERE, PRIMARY, REMOTE_REPLICA, REMOTE_ZONE, SESSION_READ, STRONG_READ,
+    default_settings, final_answers, first_endpoint, primary, rejects_with_retry_after, replica,
+    sent_endpoints, FinishedAttempt, Simulation, BOUNDED_READ, EVENTUAL_READ, KEYED_WRITE, LOCAL_REPLICA,
+    LOCAL_ZONE, NON_IDEMPOTENT_WRITE, NOWHERE, PRIMARY, REMOTE_REPLICA, REMOTE_ZONE, SESSION_READ,
+    STRONG_READ,
 };
 
 fn succeed(sim: &mut Simulation, id: &str) {
@@ -268,3 +269,31 @@
     assert_eq!(expire(&mut sim, "write"), []);
     assert_eq!(expire(&mut sim, "unknown"), []);
 }
+
+/// The program may be held up this long between a decision and the write to the socket (seconds).
+const HOLD_UP: f64 = 0.15;
+
+/// A retry that is sent late must still arrive inside the deduplication window.
+#[test]
+fn a_retry_leaves_time_for_a_process_that_is_held_up() {
+    let settings = Settings { connect_timeout: 0.05, ..default_settings() };
+    let window = settings.classes[KEYED_WRITE].deduplication_window;
+    for (waited, retries) in [(window - HOLD_UP - 0.01, 1), (window - HOLD_UP + 0.01, 0)] {
+        let mut sim = Simulation::new(settings.clone());
+        sim.request("w", KEYED_WRITE);
+        sim.now += waited;
+        sim.finish_attempt("w", PRIMARY, 0, Outcome::Error);
+        let attempts = attempts_of(&sim, "w");
+        assert_eq!(attempts.len(), 1 + retries, "after {waited} s");
+        let longest = (window - HOLD_UP - waited).max(settings.tick) + 1e-9;
+        assert!(attempts[1..].iter().all(|(_, timeout)| *timeout <= longest), "{attempts:?}");
+    }
+}
+
+#[test]
+fn a_request_without_time_for_an_answer_is_sent_nowhere() {
+    let mut sim = Simulation::new(default_settings());
+    let actions = sim.handle(Event::request("late", KEYED_WRITE, 0, 0.004));
+    assert_eq!((sent_endpoints(&actions), final_answers(&actions)), (Vec::new(), 1));
+    assert!(rejects_with_retry_after(&actions));
+}
