Keep 0.15 s of a deduplication window in reserve for a process that is held up

Cause: Policy::may_attempt allowed a retry until the connect timeout before its window closes, and the attempt could be written until the window's end.

Change: MAX_HOLD_UP (0.15 s) is the least reserve of a retry, and its attempt times out that long before the window closes, so that a connection which comes up later carries nothing.

--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -11,6 +11,8 @@
 pub(super) const MAX_RETRIES: f64 = 20.0;
 /// Share of its time that a request may wait unsent, which leaves its client time to retry elsewhere.
 const QUEUE_TIME_SHARE: f64 = 0.5;
+/// How long the program may be held up between a decision and the write that follows from it (seconds).
+const MAX_HOLD_UP: f64 = 0.15;
 /// Weight of a new sample in the share of reads, which changes slowly: about fifty requests.
 const READ_SHARE_WEIGHT: f64 = 0.02;
 
@@ -82,11 +84,13 @@
     }
 
     /// Whether a request may have one more attempt. One that may have been executed, or is in flight, is only
-    /// repeated while its class allows that, counted from the first such attempt, less the time to connect.
+    /// repeated while its class allows that, counted from the first such attempt, less the time to connect or that of
+    /// a hold-up.
     pub(super) fn may_attempt(&self, request: &PendingRequest) -> bool {
         let class = self.class(request.class);
         let may_overlap = request.attempts_in_flight() < self.settings.max_attempts_in_flight();
-        let is_in_time = |sent_at| self.now < class.repeatable_until(sent_at) - self.settings.connect_timeout;
+        let reserve = self.settings.connect_timeout.max(MAX_HOLD_UP);
+        let is_in_time = |sent_at| self.now < class.repeatable_until(sent_at) - reserve;
         let may_repeat = request.may_have_run_since().is_none_or(is_in_time);
         may_overlap && may_repeat && (request.attempts.len() as u32) < self.settings.max_attempts
     }
@@ -112,10 +116,11 @@
         let endpoint = &self.endpoints[to];
         let is_allowed = |r: &&PendingRequest| r.group == endpoint.group && self.may_attempt(r);
         let Some(request) = self.requests.get(key).filter(is_allowed) else { return };
-        // A retry must not wait in the endpoint's queue until after the deduplication window.
+        // A retry must not wait for a connection, or in the endpoint's queue, until after the deduplication window.
         let class = self.class(request.class);
         let first_sent_at = request.may_have_run_since();
-        let window_end = first_sent_at.map_or(f64::INFINITY, |sent_at| class.repeatable_until(sent_at));
+        let window_end =
+            first_sent_at.map_or(f64::INFINITY, |sent_at| class.repeatable_until(sent_at) - MAX_HOLD_UP);
         let timeout = (request.deadline.min(window_end) - self.now).max(self.settings.tick);
         self.actions.push(Action::Send { id: request.id.clone(), endpoint: endpoint.id.clone(), timeout });
         self.endpoints[to].attempt_sent(self.now, SAMPLE_WEIGHT);
