Send nothing for a request whose final answer is due within the same tick

Cause: Policy::dispatch looked at the deadline itself, while the final answer is due one tick before it: a request that came with less time than that was sent and answered in the same moment, and a host did its work for nobody.

--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -71,7 +71,9 @@
     pub(super) fn dispatch(&mut self, key: RequestKey) {
         let Some(request) = self.requests.get(key).filter(|request| !request.in_flight()) else { return };
         let useful_until = request.useful_until(self.class(request.class).late_weight > 0.0);
-        if !self.may_attempt(request) || self.now >= useful_until {
+        // Its final answer is due a tick before its deadline: nothing that is sent then could be answered in time.
+        let is_due = self.now + self.settings.tick >= request.deadline;
+        if !self.may_attempt(request) || self.now >= useful_until || is_due {
             return self.reject_or_fail(key);
         }
         let has_waited = self.now >= request.queue_until && request.untried();
--- a/src/policy/primary_search.rs
+++ b/src/policy/primary_search.rs
@@ -77,7 +77,7 @@
         }
         let is_unsent_write = |request: &&PendingRequest| {
             let is_unsent = request.may_have_run_since().is_none() && self.may_attempt(request);
-            let is_pending = !request.finished && self.now < request.deadline;
+            let is_pending = !request.finished && self.now + self.settings.tick < request.deadline;
             is_pending && is_unsent && self.class(request.class).is_write()
         };
         let write = |key: &RequestKey| Some((*key, self.requests.get(*key).filter(is_unsent_write)?));
