--- a/src/counters/mod.rs
+++ b/src/counters/mod.rs
@@ -62,8 +62,8 @@
 
 /// What has happened since the start of the process. Counters never decrease.
 ///
-/// They are printed on one line as `name=value`, separated by spaces. Operators parse that line: its names and
-/// their order are an interface.
+/// They are printed on one line as `name=value`, separated by spaces. Operators parse that line: its names
+/// and their order are an interface.
 #[derive(Default)]
 pub(crate) struct Counters {
     /// Client connections that were accepted.
@@ -73,15 +73,15 @@
     /// Messages and queries of clients that were invalid, including queries that a database host rejected as
     /// invalid.
     pub malformed: u64,
-    /// Clients whose connection was closed because they did not send a first query, complete a message or read
-    /// their answers in time.
+    /// Clients whose connection was closed because they did not send a first query, complete a message or
+    /// read their answers in time.
     pub client_timeouts: u64,
     /// Client connections that were closed because they were idle for too long.
     pub idle_closed: u64,
     /// Queries that were answered with a value.
     pub served: u64,
-    /// Queries that were answered with a rejection; they were not executed. Includes those rejected for lack of
-    /// memory or during a shutdown, which are not in [`requests_received`](Self::requests_received).
+    /// Queries that were answered with a rejection; they were not executed. Includes those rejected for lack
+    /// of memory or during a shutdown, which are not in [`requests_received`](Self::requests_received).
     pub rejected: u64,
     /// Queries that were answered with a failure; they may have been executed.
     pub failed: u64,
--- a/src/interface/mod.rs
+++ b/src/interface/mod.rs
@@ -1,8 +1,8 @@
 //! The messages between a [`Policy`](crate::Policy) and the program that hosts it: [`Event`]s go in and
 //! [`Action`]s come out. Types only: no decision is taken here.
 //!
-//! All times are in seconds. Points in time, log positions included, are on one monotonic clock that the hosting
-//! program supplies.
+//! All times are in seconds. Points in time, log positions included, are on one monotonic clock that the
+//! hosting program supplies.
 
 mod action;
 mod event;
--- a/src/load_report.rs
+++ b/src/load_report.rs
@@ -7,7 +7,8 @@
 /// The field that is 1 where the host is the primary.
 pub(crate) const PRIMARY_FIELD: &str = "x1";
 
-/// Parses a load report. One that cannot be read as a whole tells nothing: what is legible in it may be wrong too.
+/// Parses a load report. One that cannot be read as a whole tells nothing: what is legible in it may be wrong
+/// too.
 pub(crate) fn parse(text: &[u8]) -> Option<LoadReport> {
     let mut report = LoadReport::default();
     for pair in std::str::from_utf8(text).ok()?.split(',') {
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,7 +1,8 @@
 //! The operator's log: one line per event on standard error.
 //!
-//! A thread of its own writes the lines, so that a reader which falls behind never stops the program. Lines for
-//! which the queue of that thread has no room are lost; a line that counts them follows once there is room again.
+//! A thread of its own writes the lines, so that a reader which falls behind never stops the program. Lines
+//! for which the queue of that thread has no room are lost; a line that counts them follows once there is
+//! room again.
 
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/src/net/backend/connection.rs
+++ b/src/net/backend/connection.rs
@@ -18,8 +18,8 @@
 /// The body of an Authentication message that asks for nothing more.
 const AUTHENTICATION_OK: [u8; 4] = [0; 4];
 
-/// How long a query may wait in the output buffer (seconds). It says how much time its client has left, and hosts may
-/// be told at most 0.15 s more than that.
+/// How long a query may wait in the output buffer (seconds). It says how much time its client has left, and
+/// hosts may be told at most 0.15 s more than that.
 const SEND_TIMEOUT: f64 = 0.1;
 
 /// How far an exchange has come.
@@ -191,8 +191,8 @@
         }
     }
 
-    /// Writes as much as possible. A query that was not written in time must not be written any more. Once one is
-    /// written, its exchange has all its time.
+    /// Writes as much as possible. A query that was not written in time must not be written any more. Once
+    /// one is written, its exchange has all its time.
     fn write_output(&mut self, now: f64) -> Result<(), Progress> {
         let is_query_waiting = self.state.is_busy() && !self.is_output_sent();
         if is_query_waiting && now >= self.state_deadline {
@@ -227,7 +227,8 @@
         }
     }
 
-    /// Queues the query of an exchange. Fails without sending any of it if its time is over or memory is short.
+    /// Queues the query of an exchange. Fails without sending any of it if its time is over or memory is
+    /// short.
     fn send_query(&mut self, exchange: Exchange, now: f64) -> Progress {
         let is_expired = now >= exchange.deadline;
         let query = exchange.query_message(now);
--- a/src/net/backend/connection/tests.rs
+++ b/src/net/backend/connection/tests.rs
@@ -45,8 +45,8 @@
     (connection, host)
 }
 
-/// A query says how long its client waits. Once it waited in the buffer for as long as its client did, and told the
-/// host a time that was over.
+/// A query says how long its client waits. Once it waited in the buffer for as long as its client did, and
+/// told the host a time that was over.
 #[test]
 fn a_query_that_waits_to_be_written_is_given_up_before_its_deadline_is_wrong() {
     let (mut connection, _host) = connection_with_waiting_query();
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -57,8 +57,8 @@
         }
     }
 
-    /// Applies an update of the endpoint list. Queries that wait for a connection to a host which takes no requests any
-    /// more are not sent.
+    /// Applies an update of the endpoint list. Queries that wait for a connection to a host which takes no
+    /// requests any more are not sent.
     pub fn update_endpoints(
         &mut self,
         kind: UpdateKind,
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -20,7 +20,8 @@
 const RESPONSE_HEAD_TIMEOUT: f64 = 1.0;
 /// A watch on which a list has begun and is not complete after this time is closed (seconds).
 const LIST_TIMEOUT: f64 = 2.8;
-/// The timeouts of a watch that follows a failed one are longer by this factor, since the service may be slow.
+/// The timeouts of a watch that follows a failed one are longer by this factor, since the service may be
+/// slow.
 const RETRY_TIMEOUT_FACTOR: f64 = 2.5;
 
 /// How long each part of the response to a watch may take (seconds).
--- a/src/net/frontend/acceptor.rs
+++ b/src/net/frontend/acceptor.rs
@@ -40,8 +40,8 @@
         })
     }
 
-    /// Has the listening socket closed once all connections that wait in its queue are accepted. Closing it earlier
-    /// would reset them, with the queries that their clients may have sent.
+    /// Has the listening socket closed once all connections that wait in its queue are accepted. Closing it
+    /// earlier would reset them, with the queries that their clients may have sent.
     pub(super) fn start_closing(&mut self) {
         self.is_closing = true;
     }
--- a/src/net/frontend/arrivals.rs
+++ b/src/net/frontend/arrivals.rs
@@ -2,7 +2,8 @@
 
 use std::collections::VecDeque;
 
-/// Most arrival times kept for one connection. Bytes received after that count as received with the last ones.
+/// Most arrival times kept for one connection. Bytes received after that count as received with the last
+/// ones.
 const MAX_ARRIVAL_TIMES: usize = 64;
 
 /// One read from the socket.
--- a/src/net/frontend/connection.rs
+++ b/src/net/frontend/connection.rs
@@ -121,8 +121,8 @@
                 self.schedule_poll(id, now, context);
                 return Ok(());
             }
-            // Events are edge-triggered: what a full buffer has left in the socket must be read now that there
-            // is room, since no event announces it again.
+            // Events are edge-triggered: what a full buffer has left in the socket must be read now that
+            // there is room, since no event announces it again.
             if status == ReadStatus::WouldBlock {
                 return Ok(());
             }
@@ -149,8 +149,8 @@
         Ok(status)
     }
 
-    /// Handles a full input buffer of which nothing could be processed. If the client is to send the rest of a
-    /// message, that rest will never fit: the connection is closed, so that it does not keep its memory.
+    /// Handles a full input buffer of which nothing could be processed. If the client is to send the rest of
+    /// a message, that rest will never fit: the connection is closed, so that it does not keep its memory.
     fn handle_full_input(&mut self, id: ConnectionId, context: &mut Context) -> Result<(), ConnectionClosed> {
         if self.state.is_reading() && self.output.is_empty() {
             return self.send_fatal_error(id, sqlstate::OUT_OF_MEMORY, "no memory", context);
@@ -158,8 +158,8 @@
         Ok(())
     }
 
-    /// Discards what has arrived, at most one buffer for each poll: a client that sends without pause must not
-    /// block the event loop.
+    /// Discards what has arrived, at most one buffer for each poll: a client that sends without pause must
+    /// not block the event loop.
     fn discard_input(
         &mut self,
         id: ConnectionId,
--- a/src/net/frontend/deadline.rs
+++ b/src/net/frontend/deadline.rs
@@ -58,9 +58,9 @@
         self.deadline.set(now + CLOSE_LINGER, id, context);
     }
 
-    /// Closes the connection of a client that has not acted in time. An incomplete message is answered with an
-    /// error. A client that has sent nothing gets none, since an error could be taken for the response to a
-    /// query that it is just sending.
+    /// Closes the connection of a client that has not acted in time. An incomplete message is answered with
+    /// an error. A client that has sent nothing gets none, since an error could be taken for the response to
+    /// a query that it is just sending.
     pub(super) fn handle_missed_deadline(
         &mut self,
         id: ConnectionId,
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -95,7 +95,8 @@
 /// Something to send to a database host.
 #[derive(Clone, Debug)]
 pub(crate) enum Task {
-    /// An attempt of a request: its request, its number among the attempts of that request, and its statement.
+    /// An attempt of a request: its request, its number among the attempts of that request, and its
+    /// statement.
     Attempt(RequestId, usize, Rc<Statement>),
     /// A health check of the host.
     HealthCheck,
--- a/src/net/pooler/request_table/mod.rs
+++ b/src/net/pooler/request_table/mod.rs
@@ -64,8 +64,8 @@
 
 /// All requests in progress, by their identifier and by the client that waits for them.
 ///
-/// A request stays in the table until its client has its answer or has disconnected and no attempt of it is in
-/// flight.
+/// A request stays in the table until its client has its answer or has disconnected and no attempt of it is
+/// in flight.
 #[derive(Debug, Default)]
 pub(super) struct RequestTable {
     requests: HashMap<RequestId, ForwardedRequest>,
--- a/src/net/pooler/signals.rs
+++ b/src/net/pooler/signals.rs
@@ -13,8 +13,8 @@
 /// How long connections and queries are accepted after the shutdown was requested (seconds). New connections
 /// arrive for up to 0.4 s; a query that arrives after 0.7 s is lost if it outlives the process.
 const SHUTDOWN_GRACE_PERIOD: f64 = 0.6;
-/// The process is killed at the earliest this long after the shutdown was requested and the longest deadline, which
-/// counts up to [`MAX_COUNTED_DEADLINE`] (seconds).
+/// The process is killed at the earliest this long after the shutdown was requested and the longest deadline,
+/// which counts up to [`MAX_COUNTED_DEADLINE`] (seconds).
 const KILL_DELAY: f64 = 0.7;
 const MAX_COUNTED_DEADLINE: f64 = 3.0;
 /// How long before the earliest kill the queries are answered that wait behind others (seconds).
@@ -53,8 +53,8 @@
         }
     }
 
-    /// Reads the configuration file again. An invalid file changes nothing. One that cannot be read is tried again:
-    /// the system may lack a descriptor for a moment.
+    /// Reads the configuration file again. An invalid file changes nothing. One that cannot be read is tried
+    /// again: the system may lack a descriptor for a moment.
     fn reload(&mut self, context: &mut Context) {
         if let Err(error) = self.try_reload(context) {
             context.counters.reload_failures += 1;
@@ -77,8 +77,8 @@
         }
     }
 
-    /// Takes the address of discovery from the configuration file. The rest holds from the next start, since requests
-    /// in progress were accepted under it.
+    /// Takes the address of discovery from the configuration file. The rest holds from the next start, since
+    /// requests in progress were accepted under it.
     fn try_reload(&mut self, context: &mut Context) -> Result<(), ConfigError> {
         let config = Config::load(&self.reload.path)?;
         self.reload.retries_left = 0;
@@ -112,8 +112,8 @@
         self.frontend.start_shutdown(context);
     }
 
-    /// Ends each request behind which others wait on its connection. These came during the shutdown and are owed an
-    /// answer before the process is killed; the first one came earlier and is not.
+    /// Ends each request behind which others wait on its connection. These came during the shutdown and are
+    /// owed an answer before the process is killed; the first one came earlier and is not.
     pub(super) fn end_blocking_requests(&mut self, context: &mut Context) {
         for client in self.frontend.clients_with_waiting_input() {
             if let Some(id) = self.requests.request_of(client) {
--- a/src/net/reactor/mod.rs
+++ b/src/net/reactor/mod.rs
@@ -87,8 +87,8 @@
     Ok(())
 }
 
-/// Handles the events of one poll. Clients that have gone come first: other events may be what their queries were
-/// waiting for, and nothing must be sent for them any more.
+/// Handles the events of one poll. Clients that have gone come first: other events may be what their queries
+/// were waiting for, and nothing must be sent for them any more.
 fn handle_poll_events(events: &Events, handler: &mut impl Handler, context: &mut Context) {
     let ready = events.iter().map(|event| (EventSource::from(event.token()), event.is_read_closed()));
     let (gone, others): (Vec<_>, Vec<_>) =
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -71,7 +71,8 @@
     pub(super) fn dispatch(&mut self, key: RequestKey) {
         let Some(request) = self.requests.get(key).filter(|request| !request.in_flight()) else { return };
         let useful_until = request.useful_until(self.class(request.class).late_weight > 0.0);
-        // Its final answer is due a tick before its deadline: nothing that is sent then could be answered in time.
+        // Its final answer is due a tick before its deadline: nothing that is sent then could be answered in
+        // time.
         let is_due = self.now + self.settings.tick >= request.deadline;
         if !self.may_attempt(request) || self.now >= useful_until || is_due {
             return self.reject_or_fail(key);
@@ -86,8 +87,8 @@
     }
 
     /// Whether a request may have one more attempt. One that may have been executed, or is in flight, is only
-    /// repeated while its class allows that, counted from the first such attempt, less the time to connect or that of
-    /// a hold-up.
+    /// repeated while its class allows that, counted from the first such attempt, less the time to connect or
+    /// that of a hold-up.
     pub(super) fn may_attempt(&self, request: &PendingRequest) -> bool {
         let class = self.class(request.class);
         let may_overlap = request.attempts_in_flight() < self.settings.max_attempts_in_flight();
@@ -118,7 +119,8 @@
         let endpoint = &self.endpoints[to];
         let is_allowed = |r: &&PendingRequest| r.group == endpoint.group && self.may_attempt(r);
         let Some(request) = self.requests.get(key).filter(is_allowed) else { return };
-        // A retry must not wait for a connection, or in the endpoint's queue, until after the deduplication window.
+        // A retry must not wait for a connection, or in the endpoint's queue, until after the deduplication
+        // window.
         let class = self.class(request.class);
         let first_sent_at = request.may_have_run_since();
         let window_end =
--- a/src/policy/results.rs
+++ b/src/policy/results.rs
@@ -56,7 +56,8 @@
             Outcome::ConnectionReset => self.record_failure(endpoint, CONNECTION_RESET),
             Outcome::Timeout | Outcome::Cancelled => {
                 state.load.abandoned.push(now + latency.mean + latency.deviation);
-                // A timeout that is shorter than an answer takes tells nothing, such as that of a late request.
+                // A timeout that is shorter than an answer takes tells nothing, such as that of a late
+                // request.
                 let is_telling = result.elapsed > latency.upper(LATE_DEVIATIONS);
                 if result.outcome == Outcome::Timeout && !attempt.cancelled && is_telling {
                     state.load.sample_latency_ratio(ratio, SAMPLE_WEIGHT);
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -10,7 +10,8 @@
 pub enum Idempotency {
     /// Repeating the request is harmless.
     Idempotent,
-    /// The request carries an idempotency key: repeats are dropped inside a [`DeduplicationScope`] for a while.
+    /// The request carries an idempotency key: repeats are dropped inside a [`DeduplicationScope`] for a
+    /// while.
     IdempotencyKey,
     /// A repeat may take effect twice.
     NonIdempotent,
@@ -184,8 +185,8 @@
     pub initial_capacity: f64,
     /// A starting endpoint has its full capacity after this time.
     pub slow_start_window: f64,
-    /// An endpoint in slow start collapses if its load exceeds this multiple of its present capacity for the whole
-    /// of [`overload_window`](Self::overload_window).
+    /// An endpoint in slow start collapses if its load exceeds this multiple of its present capacity for the
+    /// whole of [`overload_window`](Self::overload_window).
     pub overload_limit: f64,
     /// How long an endpoint in slow start withstands a load above [`overload_limit`](Self::overload_limit).
     pub overload_window: f64,
--- a/src/state/token_bucket.rs
+++ b/src/state/token_bucket.rs
@@ -21,8 +21,8 @@
         TokenBucket::new(capacity, capacity)
     }
 
-    /// A bucket that earns so many tokens per second, and holds those of a second or `min_capacity`, whichever
-    /// is more. It starts with `min_capacity` tokens.
+    /// A bucket that earns so many tokens per second, and holds those of a second or `min_capacity`,
+    /// whichever is more. It starts with `min_capacity` tokens.
     pub fn earning(refill_rate: f64, min_capacity: f64) -> Self {
         let capacity = refill_rate.max(min_capacity);
         TokenBucket { tokens: min_capacity, capacity, refill_rate, refilled_at: 0.0 }
--- a/tests/loopback/attempts.rs
+++ b/tests/loopback/attempts.rs
@@ -135,7 +135,8 @@
     complete_read(&host, &mut client);
 }
 
-/// Closes every connection on which request 1 arrives, answers request 2 and returns how often request 1 came.
+/// Closes every connection on which request 1 arrives, answers request 2 and returns how often request 1
+/// came.
 fn count_attempts_until_next_request(host: &DatabaseHost) -> usize {
     let mut attempts = 0;
     // One connection at a time: the pooler sees the end of an attempt before it makes the next.
--- a/tests/loopback/cancellation.rs
+++ b/tests/loopback/cancellation.rs
@@ -4,8 +4,8 @@
 
 use crate::harness::*;
 
-/// The pooler once stopped reading from a client with too much unread input, and so did not see that the client had
-/// disconnected. The attempt for its query went on.
+/// The pooler once stopped reading from a client with too much unread input, and so did not see that the
+/// client had disconnected. The attempt for its query went on.
 #[rstest]
 #[case::nothing_unread(0)]
 #[case::more_unread_than_is_buffered(2000)]
@@ -52,8 +52,8 @@
     pooler.expect_counters(" cancelled=1");
 }
 
-/// A query that waits for a replica that is fresh enough must not be sent after its client has cancelled it or has
-/// disconnected.
+/// A query that waits for a replica that is fresh enough must not be sent after its client has cancelled it
+/// or has disconnected.
 #[rstest]
 #[case::cancelled(true)]
 #[case::disconnected(false)]
@@ -81,8 +81,8 @@
     other.expect_result();
 }
 
-/// Of events that came together, the readiness of a connection to a host was once handled before the end of the client
-/// that its query was for.
+/// Of events that came together, the readiness of a connection to a host was once handled before the end of
+/// the client that its query was for.
 #[test]
 fn a_query_is_not_sent_if_its_client_has_disconnected_while_the_pooler_was_held_up() {
     let host = DatabaseHost::new();
--- a/tests/loopback/client_limits.rs
+++ b/tests/loopback/client_limits.rs
@@ -33,15 +33,16 @@
     clients[1].expect_end();
 }
 
-/// An idle client was once closed to make room for a new one although its next query had already arrived. The query
-/// was lost unread.
+/// An idle client was once closed to make room for a new one although its next query had already arrived. The
+/// query was lost unread.
 #[test]
 fn a_client_whose_query_has_arrived_is_not_closed_to_make_room() {
     let host = DatabaseHost::new();
     let (pooler, _discovery) = start_with_one_host(&host, &[THREE_CLIENTS]);
     let mut clients: Vec<Connection> = (0..3).map(|_| connect_client(&pooler)).collect();
     let mut backend = complete_read(&host, &mut clients[1]);
-    // While the pooler is stopped, a new client connects and then the client that is idle for longest sends a query.
+    // While the pooler is stopped, a new client connects and then the client that is idle for longest sends a
+    // query.
     pooler.signal(Signal::Stop);
     let mut new = connect_without_startup(&pooler);
     clients[0].send(&Request::new("1", "reports").message());
@@ -96,7 +97,8 @@
     busy_backend.receive_query();
     let mut idle_backend = complete_read(&host, &mut idle);
     idle.expect_end_without_reset();
-    // A query that crosses the close is not forwarded. It causes no reset either, which could overtake a response.
+    // A query that crosses the close is not forwarded. It causes no reset either, which could overtake a
+    // response.
     idle.send(&Request::new("2", "reports").message());
     pooler.expect_counters(" client_timeouts=0 idle_closed=1 ");
     // After a reset this could not be sent.
--- a/tests/loopback/client_protocol.rs
+++ b/tests/loopback/client_protocol.rs
@@ -109,8 +109,8 @@
     complete_read(&host, &mut connect_client(&pooler));
 }
 
-/// The pooler once discarded only one buffer of what the client still sent. Closing the socket with the rest unread
-/// causes a reset, which can reach the client before the error does.
+/// The pooler once discarded only one buffer of what the client still sent. Closing the socket with the rest
+/// unread causes a reset, which can reach the client before the error does.
 #[test]
 fn a_client_that_keeps_sending_after_a_framing_error_gets_the_error_and_no_reset() {
     let host = DatabaseHost::new();
@@ -127,8 +127,8 @@
     complete_read(&host, &mut connect_client(&pooler));
 }
 
-/// The pooler once shut down the sending side again on every wake-up, and each shutdown caused the next wake-up: a
-/// connection in its last second used a whole core.
+/// The pooler once shut down the sending side again on every wake-up, and each shutdown caused the next
+/// wake-up: a connection in its last second used a whole core.
 #[test]
 #[cfg(target_os = "linux")]
 fn a_connection_that_is_being_closed_uses_no_processor_time() {
--- a/tests/loopback/deadlines.rs
+++ b/tests/loopback/deadlines.rs
@@ -14,8 +14,8 @@
     backend.expect_end();
 }
 
-/// The time of a query behind another on its connection once started only when its turn came, so that it was sent
-/// after its client had given up.
+/// The time of a query behind another on its connection once started only when its turn came, so that it was
+/// sent after its client had given up.
 #[test]
 fn the_deadline_of_a_query_runs_while_it_waits_behind_another() {
     let host = DatabaseHost::new();
@@ -29,7 +29,8 @@
     let third = Request::new("3", "reports");
     pipelining.send(&[second.message(), third.message()].concat());
     pooler.wait_until_caught_up();
-    // The fourth request is sent later and has more time than the second. Once it has expired, so has the second.
+    // The fourth request is sent later and has more time than the second. Once it has expired, so has the
+    // second.
     other.send(&Request::new("4", "reports").deadline_ms(500).message());
     let mut silent = host.accept();
     silent.receive_query();
--- a/tests/loopback/discovery.rs
+++ b/tests/loopback/discovery.rs
@@ -43,8 +43,8 @@
     discovery.accept().expect_since(43);
 }
 
-/// Sends that the host is draining, and requires that the pooler applies it well within the 6 s after which the
-/// discovery service treats the pooler as informed.
+/// Sends that the host is draining, and requires that the pooler applies it well within the 6 s after which
+/// the discovery service treats the pooler as informed.
 fn expect_drain_in_time(
     discovery: &DiscoveryService,
     host: &DatabaseHost,
@@ -73,7 +73,8 @@
     expect_drain_in_time(&discovery, &host, &mut idle, Instant::now());
 }
 
-/// The time for a list is limited as well, since a list that trickles in never leaves the watch silent for long.
+/// The time for a list is limited as well, since a list that trickles in never leaves the watch silent for
+/// long.
 #[test]
 fn a_list_that_never_ends_is_abandoned_in_time() {
     let host = DatabaseHost::new();
@@ -123,8 +124,8 @@
     discovery.accept().expect_since(42);
 }
 
-/// The pooler once took a complete list without the entry that it could not read, which meant that the host of that
-/// entry was removed.
+/// The pooler once took a complete list without the entry that it could not read, which meant that the host
+/// of that entry was removed.
 #[rstest]
 #[case::unknown_status("SERVING", "ODD")]
 #[case::address_is_a_name("127.0.0.1", "localhost")]
@@ -186,8 +187,8 @@
     drop(crowd);
 }
 
-/// A connection to a host that began to drain while the session was being started once got its query as soon as it was
-/// ready, which the connect timeout allows for any time after the notice.
+/// A connection to a host that began to drain while the session was being started once got its query as soon
+/// as it was ready, which the connect timeout allows for any time after the notice.
 #[test]
 fn a_connection_that_is_not_ready_when_its_host_drains_carries_no_query() {
     let near = DatabaseHost::new();
--- a/tests/loopback/harness/configuration.rs
+++ b/tests/loopback/harness/configuration.rs
@@ -4,8 +4,8 @@
 
 use super::EndpointList;
 
-/// Settings of four classes of requests. Latency objectives and deadlines are so long that a slow machine does not
-/// change a result.
+/// Settings of four classes of requests. Latency objectives and deadlines are so long that a slow machine
+/// does not change a result.
 const SETTINGS: &str = r#"{"classes":[
 {"name":"browse","aim":8,"deadline":9,"effect":"read_like","value":1},
 {"name":"own-orders","aim":8,"deadline":9,"effect":"read_like","value":1},
--- a/tests/loopback/harness/connection.rs
+++ b/tests/loopback/harness/connection.rs
@@ -114,8 +114,8 @@
         assert!(message.is_none(), "{message:?} instead of the end of the connection");
     }
 
-    /// Reads at most one byte. Starts again after a signal, such as the one that comes when the child process of
-    /// another test ends.
+    /// Reads at most one byte. Starts again after a signal, such as the one that comes when the child process
+    /// of another test ends.
     fn read_byte(&mut self) -> std::io::Result<usize> {
         loop {
             match self.stream.read(&mut [0]) {
--- a/tests/loopback/harness/mod.rs
+++ b/tests/loopback/harness/mod.rs
@@ -1,7 +1,7 @@
 //! Scripted peers of the pooler program: clients, database hosts and the discovery service.
 //!
-//! The tests drive each peer step by step. Every wait is for an event and fails the test if the event does not
-//! come within [`EVENT_TIMEOUT`].
+//! The tests drive each peer step by step. Every wait is for an event and fails the test if the event does
+//! not come within [`EVENT_TIMEOUT`].
 
 mod client;
 mod configuration;
@@ -26,7 +26,8 @@
 use std::net::TcpListener;
 use std::time::Duration;
 
-/// How long a peer waits for an event. Far longer than any event takes, so only a failed test waits this long.
+/// How long a peer waits for an event. Far longer than any event takes, so only a failed test waits this
+/// long.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Listens on a free port of the loopback interface. Accepting a connection fails after [`EVENT_TIMEOUT`].
--- a/tests/loopback/harness/pooler.rs
+++ b/tests/loopback/harness/pooler.rs
@@ -92,7 +92,8 @@
         self.signal(Signal::Hangup);
     }
 
-    /// Makes the pooler reload its configuration while the file is not there, and then puts the edited file back.
+    /// Makes the pooler reload its configuration while the file is not there, and then puts the edited file
+    /// back.
     pub fn reload_while_missing(&self, edit: &Edit) {
         let text = std::fs::read_to_string(&self.configuration).unwrap();
         std::fs::remove_file(&self.configuration).unwrap();
@@ -137,8 +138,8 @@
         self.counters();
     }
 
-    /// The processor time of the process so far: its time in user mode and in the kernel, which are the 14th and
-    /// the 15th field of the file.
+    /// The processor time of the process so far: its time in user mode and in the kernel, which are the 14th
+    /// and the 15th field of the file.
     #[cfg(target_os = "linux")]
     pub fn processor_seconds(&self) -> f64 {
         let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
--- a/tests/loopback/harness/setup.rs
+++ b/tests/loopback/harness/setup.rs
@@ -27,8 +27,8 @@
     (Pooler::start(&known, &discovery, &[]), discovery)
 }
 
-/// Sends a read that the next connection to `host` has to get, and answers it. Returns that connection, which the
-/// pooler keeps as idle.
+/// Sends a read that the next connection to `host` has to get, and answers it. Returns that connection, which
+/// the pooler keeps as idle.
 pub fn complete_read(host: &DatabaseHost, client: &mut Connection) -> Connection {
     client.send(&Request::new("warm", "reports").message());
     let mut backend = host.accept();
--- a/tests/loopback/hedging.rs
+++ b/tests/loopback/hedging.rs
@@ -2,7 +2,8 @@
 
 use crate::harness::*;
 
-/// Allows hedged requests. An attempt is overdue after 1.2 s; until then its connection may take that long to come up.
+/// Allows hedged requests. An attempt is overdue after 1.2 s; until then its connection may take that long to
+/// come up.
 const HEDGING: [Edit; 3] = [
     Edit { from: r#""probes":false"#, to: r#""probes":false,"mayDuplicate":true"# },
     Edit { from: r#""aim":8"#, to: r#""aim":2"# },
@@ -34,8 +35,8 @@
     }
 }
 
-/// Only the latest attempt of a request was known by its connection. The first one was sent once its connection came
-/// up, after the client had its answer.
+/// Only the latest attempt of a request was known by its connection. The first one was sent once its
+/// connection came up, after the client had its answer.
 #[test]
 fn an_attempt_that_is_not_sent_yet_is_withdrawn_once_its_request_is_answered() {
     let mut read = HedgedRead::start();
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -1,8 +1,8 @@
 //! Integration tests of the pooler program over loopback.
 //!
 //! Each test starts the program as a child process between scripted clients, database hosts and a scripted
-//! discovery service. The unit tests in `src` cover decisions; these tests cover what real sockets add: partial
-//! reads, resets, half-closed connections, limits and signals.
+//! discovery service. The unit tests in `src` cover decisions; these tests cover what real sockets add:
+//! partial reads, resets, half-closed connections, limits and signals.
 #![allow(clippy::unwrap_used, reason = "a panic is how a test fails, also in its helper functions")]
 
 mod attempts;
--- a/tests/loopback/routing.rs
+++ b/tests/loopback/routing.rs
@@ -4,8 +4,8 @@
 
 use crate::harness::*;
 
-/// With this setting, clients carry the commit position that a session's read has to see. The pooler once ignored
-/// it and used any replica.
+/// With this setting, clients carry the commit position that a session's read has to see. The pooler once
+/// ignored it and used any replica.
 #[rstest]
 #[case::replayed_by_the_replica(-1000, true)]
 #[case::not_replayed_by_the_replica(1, false)]
@@ -58,8 +58,8 @@
     pooler.expect_counters(" unreadable_reports=3 ");
 }
 
-/// Where load reports do not name the role of a host, the pooler once sent health checks to find the primary, which
-/// they cannot do.
+/// Where load reports do not name the role of a host, the pooler once sent health checks to find the primary,
+/// which they cannot do.
 #[rstest]
 #[case::no_load_reports(r#"{"how":"silent","fields":[]}"#)]
 #[case::load_reports_without_role(r#"{"how":"pull","fields":["inflight","util"]}"#)]
--- a/tests/loopback/shutdown_and_reload.rs
+++ b/tests/loopback/shutdown_and_reload.rs
@@ -36,8 +36,8 @@
     assert!(pooler.wait_for_log("shut down: ").contains("served=3"));
 }
 
-/// Clients keep sending on connections that stay open. A query pipelined before the pooler stops taking queries is
-/// served, a later one is rejected at once, and one that crosses the close gets no response.
+/// Clients keep sending on connections that stay open. A query pipelined before the pooler stops taking
+/// queries is served, a later one is rejected at once, and one that crosses the close gets no response.
 #[test]
 fn a_busy_connection_takes_no_queries_after_the_grace_period() {
     let host = DatabaseHost::new();
@@ -110,8 +110,8 @@
     assert_eq!(pooler.wait_for_exit().code(), Some(0));
 }
 
-/// The file of a configuration was once read only once for each signal: where that failed, the pooler stayed with a
-/// discovery service that had moved.
+/// The file of a configuration was once read only once for each signal: where that failed, the pooler stayed
+/// with a discovery service that had moved.
 #[test]
 fn a_reload_is_tried_again_while_the_file_cannot_be_read() {
     let host = DatabaseHost::new();
@@ -124,8 +124,8 @@
     pooler.expect_counters(" reloads=1 reload_failures=1");
 }
 
-/// The listener was once closed at the end of the grace period although clients at the limit of connections still
-/// waited to be accepted. Their connections were reset with the queries in them.
+/// The listener was once closed at the end of the grace period although clients at the limit of connections
+/// still waited to be accepted. Their connections were reset with the queries in them.
 #[test]
 fn a_client_that_waits_for_a_place_during_the_shutdown_is_answered() {
     let host = DatabaseHost::new();
@@ -160,8 +160,8 @@
 /// The process may be killed 3.7 s after it was asked to end, whatever the deadlines.
 const EARLIEST_KILL: Duration = Duration::from_millis(3700);
 
-/// A query that came during the shutdown behind another one once waited for that to end, which could take longer than
-/// the process had to live.
+/// A query that came during the shutdown behind another one once waited for that to end, which could take
+/// longer than the process had to live.
 #[test]
 fn a_query_behind_a_long_one_is_answered_before_the_process_may_be_killed() {
     let host = DatabaseHost::new();
--- a/tests/policy/invariants/mod.rs
+++ b/tests/policy/invariants/mod.rs
@@ -1,8 +1,8 @@
 //! Property test: random but legal sequences of events must never make the policy break an invariant.
 //!
-//! `workload` generates the events of a seed around the simulated endpoints of `hosts`. `checker` checks every
-//! action against the events so far, of which it keeps `records`. `coverage` counts how often the invariants
-//! were at stake.
+//! `workload` generates the events of a seed around the simulated endpoints of `hosts`. `checker` checks
+//! every action against the events so far, of which it keeps `records`. `coverage` counts how often the
+//! invariants were at stake.
 
 mod checker;
 mod coverage;
@@ -19,8 +19,8 @@
 /// Random events of one seed; answers, health checks and timers come on top.
 const EVENTS_PER_SEED: usize = 400;
 
-/// Runs the seeds of a case and reports the failure that took the fewest events. Fails as well when the events
-/// no longer reach the states in which the invariants matter.
+/// Runs the seeds of a case and reports the failure that took the fewest events. Fails as well when the
+/// events no longer reach the states in which the invariants matter.
 #[rstest]
 fn random_events_never_break_an_invariant(#[values(0, 1, 2, 3)] case: u64) {
     let mut coverage = Coverage::default();
--- a/tests/policy_files.rs
+++ b/tests/policy_files.rs
@@ -1,4 +1,5 @@
-//! The engineers who run the pooler read all of its decisions: their width is limited, and every file is named.
+//! The engineers who run the pooler read all of its decisions: their width is limited, and every file is
+//! named.
 
 use std::fs;
 use std::path::{Path, PathBuf};
