Test a machine whose clock is wrong, with hosts on another clock: stale reads and an overloaded start

The pooler reads its clock once at the start and compares log positions and start times of hosts with it. With the hosts' clock moved against it, on loopback: a fresh replica gets no bounded read (ahead or behind by 0.5 s to 1 h); a replica whose data is 6 s old gets reads with a bound of 3 s (behind by 5 s), which breaks the rule on stale reads; a host that started 0.5 s ago passes for warm (ahead by 1 h).

--- /dev/null
+++ b/tests/loopback/clocks.rs
@@ -0,0 +1,117 @@
+//! A machine whose clock is wrong by seconds or by an hour. Only the difference between the clocks matters,
+//! so the tests move that of the database hosts.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+
+use rstest::rstest;
+
+use crate::harness::*;
+
+const HOUR_MS: i64 = 3_600_000;
+
+/// Reads that a test sends, one after another.
+const READS: usize = 40;
+
+/// A database host that answers every query at once.
+struct AnsweringHost {
+    entry: EndpointEntry,
+    answered: Arc<AtomicUsize>,
+}
+
+impl AnsweringHost {
+    /// Starts a host whose log position differs by `position_offset_ms` from the pooler's clock.
+    fn start(name: &str, zone: &str, role: Role, position_offset_ms: i64) -> AnsweringHost {
+        let host = DatabaseHost::new();
+        let entry = host.entry(name, zone);
+        let answered = Arc::new(AtomicUsize::new(0));
+        let counter = answered.clone();
+        std::thread::spawn(move || loop {
+            let (mut connection, counter) = (host.accept(), counter.clone());
+            std::thread::spawn(move || {
+                while connection.receive().is_some() {
+                    counter.fetch_add(1, Ordering::Relaxed);
+                    let position = unix_time().as_millis() as i64 + position_offset_ms;
+                    connection.send(&result_response_with_position(BINARY_VALUE, role, position));
+                }
+            });
+        });
+        AnsweringHost { entry, answered }
+    }
+}
+
+/// A primary in another zone and a replica in the pooler's own, whose clock differs by `offset_ms` from the
+/// pooler's.
+fn start_cluster(offset_ms: i64, lag_ms: i64) -> (AnsweringHost, AnsweringHost) {
+    let primary = AnsweringHost::start("s-1", "there", Role::Writer, offset_ms);
+    let replica = AnsweringHost::start("s-2", "here", Role::Reader, offset_ms - lag_ms);
+    (primary, replica)
+}
+
+fn start_pooler(
+    primary: EndpointEntry,
+    replica: EndpointEntry,
+    edits: &[Edit],
+) -> (Pooler, DiscoveryService) {
+    let discovery = DiscoveryService::new();
+    let entries = [primary.with_access("writer"), replica.with_access("reader")];
+    (Pooler::start(&EndpointList::snapshot(41, entries), &discovery, edits), discovery)
+}
+
+fn read(client: &mut Connection, id: impl ToString, class: &'static str) {
+    client.send(&Request::new(id, class).message());
+    client.expect_result();
+}
+
+/// How many of the bounded reads the replica gets, which lags by so much. Reads that any host may answer and
+/// writes are sent between them.
+fn bounded_reads_at_replica(offset_ms: i64, lag_ms: i64) -> usize {
+    let (primary, replica) = start_cluster(offset_ms, lag_ms);
+    let (pooler, _discovery) = start_pooler(primary.entry, replica.entry, &[]);
+    let mut client = connect_client(&pooler);
+    let mut at_replica = 0;
+    for number in 0..READS {
+        read(&mut client, format!("w{number}"), "order-write");
+        read(&mut client, format!("a{number}"), "reports");
+        let before = replica.answered.load(Ordering::Relaxed);
+        read(&mut client, format!("b{number}"), "browse");
+        at_replica += replica.answered.load(Ordering::Relaxed) - before;
+    }
+    at_replica
+}
+
+/// The pooler once compared log positions with its own clock, so that no replica was ever fresh enough.
+#[rstest]
+fn a_fresh_replica_gets_the_reads_however_wrong_the_clock_is(
+    #[values(-HOUR_MS, -5000, -500, 0, 500, 5000, HOUR_MS)] offset_ms: i64,
+) {
+    let at_replica = bounded_reads_at_replica(offset_ms, 10);
+    assert!(at_replica >= READS - 5, "{at_replica} of {READS}");
+}
+
+/// A position that is 6 s old passed for 1 s old where the pooler's clock was 5 s behind.
+#[rstest]
+fn a_replica_that_lags_gets_no_bounded_read_however_wrong_the_clock_is(
+    #[values(-HOUR_MS, -5000, 0, 5000, HOUR_MS)] offset_ms: i64,
+    #[values(3200, 6000)] lag_ms: i64,
+) {
+    assert_eq!(bounded_reads_at_replica(offset_ms, lag_ms), 0);
+}
+
+/// A host that has just started once passed for a warm one where the pooler's clock was ahead.
+#[rstest]
+fn a_host_that_has_just_started_is_warming_up_however_wrong_the_clock_is(
+    #[values(-HOUR_MS, -5000, 0, 5000, HOUR_MS)] offset_ms: i64,
+) {
+    let (primary, replica) = start_cluster(offset_ms, 10);
+    let started_ms = unix_time().as_millis() as i64 + offset_ms - 500;
+    let slow_start = Edit { from: r#""warmUp":1"#, to: r#""warmUp":60"# };
+    let (pooler, _discovery) =
+        start_pooler(primary.entry, replica.entry.with_start(started_ms), &[slow_start]);
+    let mut client = connect_client(&pooler);
+    for number in 0..200 {
+        read(&mut client, number, "reports");
+    }
+    let share = replica.answered.load(Ordering::Relaxed);
+    assert!((1..100).contains(&share), "{share} of 200 at a fifth of the capacity");
+}
--- a/tests/loopback/harness/database_host.rs
+++ b/tests/loopback/harness/database_host.rs
@@ -28,6 +28,8 @@
             zone: zone.to_string(),
             status: "SERVING",
             access: None,
+            group: 2,
+            since_ms: 0,
         }
     }
 
--- a/tests/loopback/harness/discovery.rs
+++ b/tests/loopback/harness/discovery.rs
@@ -19,6 +19,10 @@
     pub status: &'static str,
     /// `writer` for the primary, `reader` for a replica, if the list tells.
     pub access: Option<&'static str>,
+    /// The group that the host belongs to.
+    pub group: u32,
+    /// When it last started, in milliseconds since the Unix epoch; 0 for long ago.
+    pub since_ms: i64,
 }
 
 impl EndpointEntry {
@@ -27,6 +31,11 @@
         EndpointEntry { status, ..self }
     }
 
+    /// Sets when the host last started.
+    pub fn with_start(self, since_ms: i64) -> EndpointEntry {
+        EndpointEntry { since_ms, ..self }
+    }
+
     /// Marks the host as the primary (`writer`) or as a replica (`reader`).
     pub fn with_access(self, access: &'static str) -> EndpointEntry {
         EndpointEntry { access: Some(access), ..self }
@@ -35,11 +44,11 @@
 
 impl fmt::Display for EndpointEntry {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let EndpointEntry { name, address, zone, status, access } = self;
+        let EndpointEntry { name, address, zone, status, access, group, since_ms } = self;
         let access = access.map(|access| format!(r#""access":"{access}","#)).unwrap_or_default();
         write!(
             f,
-            r#"{{"name":"{name}","address":"{address}","zone":"{zone}","type":"m2","group":2,"status":"{status}","weight":1.0,{access}"since_ms":0}}"#
+            r#"{{"name":"{name}","address":"{address}","zone":"{zone}","type":"m2","group":{group},"status":"{status}","weight":1.0,{access}"since_ms":{since_ms}}}"#
         )
     }
 }
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -10,6 +10,7 @@
 mod cancellation;
 mod client_limits;
 mod client_protocol;
+mod clocks;
 mod deadlines;
 mod discovery;
 mod harness;
