Let the test of lost log lines wait until the writing thread holds the first

lines_without_room_are_lost... failed once in a run of all tests: 14 lost lines where 15 are required. The writing thread had not taken its first line when the queue was full; it then took one, and the report of the loss so far found room among the lines. The test waits for that thread now, and so requires the exact count.

--- a/src/logging/tests.rs
+++ b/src/logging/tests.rs
@@ -6,6 +6,8 @@
 
 /// A reader of the log that takes one line for each permit.
 struct SlowOutput {
+    /// Told of each line before it is taken.
+    offered: Sender<()>,
     permits: Receiver<()>,
     lines: Sender<String>,
 }
@@ -13,6 +15,7 @@
 impl Write for SlowOutput {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
         let text = String::from_utf8_lossy(line).into_owned();
+        let _ = self.offered.send(());
         let _ = self.permits.recv();
         let _ = self.lines.send(text);
         Ok(line.len())
@@ -23,48 +26,74 @@
     }
 }
 
+/// A log with such a reader, and the other ends of its channels.
+struct SlowLog {
+    writer: LogWriter,
+    worker: WorkerGuard,
+    offered: Receiver<()>,
+    permit: Sender<()>,
+    written: Receiver<String>,
+}
+
+impl SlowLog {
+    fn new() -> SlowLog {
+        let (offer, offered) = channel();
+        let (permit, permits) = channel();
+        let (lines, written) = channel();
+        let output = SlowOutput { offered: offer, permits, lines };
+        let (writer, worker) = LogWriter::new(output, QUEUE_LENGTH);
+        SlowLog { writer, worker, offered, permit, written }
+    }
+
+    fn write(&mut self, line: &str) {
+        self.writer.write_all(format!("{line}\n").as_bytes()).unwrap();
+    }
+
+    /// Fills the queue, once the reader has been offered the first line.
+    fn fill(&mut self) {
+        self.write("first");
+        self.offered.recv().unwrap();
+        (0..QUEUE_LENGTH).for_each(|number| self.write(&number.to_string()));
+    }
+
+    fn permit(&self, lines: usize) {
+        (0..lines).for_each(|_| self.permit.send(()).unwrap());
+    }
+}
+
 #[test]
 fn lines_without_room_are_lost_and_counted_once_there_is_room_again() {
-    let (permit, permits) = channel();
-    let (lines, written) = channel();
-    let (mut writer, worker) = LogWriter::new(SlowOutput { permits, lines }, QUEUE_LENGTH);
-    // The queue and the line that is being written hold five at most, so that at least fifteen are lost.
-    for number in 0..20 {
-        writer.write_all(format!("{number}\n").as_bytes()).unwrap();
-    }
-    let lost = writer.lost.dropped_lines() - writer.reported.load(Ordering::Relaxed);
-    assert!(lost >= 15, "{lost}");
-    (0..100).for_each(|_| permit.send(()).unwrap());
-    for number in 0..20 - lost {
-        assert_eq!(written.recv().unwrap(), format!("{number}\n"));
+    let mut log = SlowLog::new();
+    log.fill();
+    (0..15).for_each(|_| log.write("lost"));
+    log.permit(100);
+    for line in ["first", "0", "1", "2", "3"] {
+        assert_eq!(log.written.recv().unwrap(), format!("{line}\n"));
     }
-    writer.write_all(b"after\n").unwrap();
-    writer.write_all(b"last\n").unwrap();
-    let warning = written.recv().unwrap();
-    assert!(warning.ends_with(&format!("  WARN log lines lost count={lost}\n")), "{warning}");
-    assert_eq!(written.recv().unwrap(), "after\n");
-    assert_eq!(written.recv().unwrap(), "last\n");
-    drop(LogGuard { worker: Some(worker) });
-    assert!(written.try_recv().is_err(), "the loss is reported once");
+    log.write("after");
+    log.write("last");
+    let warning = log.written.recv().unwrap();
+    assert!(warning.ends_with("  WARN log lines lost count=15\n"), "{warning}");
+    assert_eq!(log.written.recv().unwrap(), "after\n");
+    assert_eq!(log.written.recv().unwrap(), "last\n");
+    drop(LogGuard { worker: Some(log.worker) });
+    assert!(log.written.try_recv().is_err(), "the loss is reported once");
 }
 
 #[test]
 fn queued_lines_are_written_before_the_program_ends() {
-    let (permit, permits) = channel();
-    let (lines, written) = channel();
-    let (mut writer, worker) = LogWriter::new(SlowOutput { permits, lines }, QUEUE_LENGTH);
-    (0..2).for_each(|_| permit.send(()).unwrap());
-    writer.write_all(b"first\n").unwrap();
-    writer.write_all(b"last\n").unwrap();
-    drop(LogGuard { worker: Some(worker) });
-    assert_eq!(written.try_iter().collect::<Vec<_>>(), ["first\n", "last\n"]);
+    let mut log = SlowLog::new();
+    log.permit(2);
+    log.write("first");
+    log.write("last");
+    drop(LogGuard { worker: Some(log.worker) });
+    assert_eq!(log.written.try_iter().collect::<Vec<_>>(), ["first\n", "last\n"]);
 }
 
 #[test]
 fn the_program_ends_although_its_log_is_not_read() {
-    let (_permit, permits) = channel();
-    let (lines, _written) = channel();
-    let (mut writer, worker) = LogWriter::new(SlowOutput { permits, lines }, QUEUE_LENGTH);
-    (0..2 * QUEUE_LENGTH).for_each(|_| writer.write_all(b"line\n").unwrap());
-    drop(LogGuard { worker: Some(worker) });
+    let mut log = SlowLog::new();
+    log.fill();
+    log.write("lost");
+    drop(LogGuard { worker: Some(log.worker) });
 }
