Learn the hosts' clock from their answers, in place of trusting the machine's own

Cause: Reactor reads the wall clock once at the start, and the policy compared log positions and start times, which are on the hosts' clock, with it. A step that the machine's clock was under stayed for the life of the process.

Change: ClusterClock (src/state) keeps bounds on the offset of the hosts' clock, and src/policy/cluster_time.rs what may narrow them: no host has applied commits of the future, and a primary stands at the present between the send and its answer. An answer that contradicts the bounds (or the machine's clock, while nothing is known) counts once a second one agrees, so that a single wrong position moves nothing. The bounds widen by 200 ppm for drift. - Where hosts serve stale reads, a read's bound counts from the latest time that it may be, and no replica is trusted before a primary has answered; where hosts check reads, from the likely one, which is the machine's own as far as the bounds allow. - An endpoint's uptime counts from the earliest time that it may be: a cold host never passes for warm. - Commits of sessions that are not known count as of the latest time, found when a read asks. In the simulator, poolers and hosts share one clock, and nothing changes (shares_host_clock).

Changed test: only_a_valid_load_report_shows_that_a_replica_is_fresh_enough let a replica answer a bounded read although no primary had ever answered. Its pooler now learns the clock from a primary of another group first; what it requires of the reports is as before. The same start is given to a_queued_query_whose_client_has_gone_is_not_sent.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -140,6 +140,8 @@
     let mut settings = raw.decode()?;
     // Discovery sends nothing unasked over a network, whichever mode the settings name.
     settings.watch_endpoints = true;
+    // In the simulator all share one clock. This machine's may have been stepped.
+    settings.shares_host_clock = false;
     crate::settings::validate(&settings)?;
     Ok(settings)
 }
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -155,6 +155,7 @@
             over_quota_weight: self.over_share_worth.or("overShareWorth", 1.0)?,
             pooler_count: self.fleet_size.or("fleetSize", 1.0)? as u32,
             zone: self.zone.or("zone", 0.0)? as u32,
+            shares_host_clock: true,
             tick: self.tick.or("tick", 0.005)?,
             health_checks: limits.probes && self.load_info.is_useful(),
             cancellation: limits.cancel,
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -36,10 +36,13 @@
         }
         if kind == UpdateKind::Cached {
             // After a restart no writes are remembered: any session may have written until now.
-            self.sessions.assume_writes_until(self.now);
+            self.unknown_writes_until = self.now;
         } else if self.watch.succeeded() {
             self.actions.push(Action::Log(StateChange::WatchRestored));
         }
+        for entry in entries.iter().filter(|entry| entry.started_at > 0.0) {
+            self.clock.observe_past_time(entry.started_at, self.now);
+        }
         self.endpoints.apply(kind, entries, self.now);
         for group in self.endpoints.group_ids() {
             self.elect_primary(group);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod attempts;
+mod cluster_time;
 mod endpoints;
 mod outlier_detection;
 mod overdue;
--- a/src/policy/primary.rs
+++ b/src/policy/primary.rs
@@ -2,20 +2,18 @@
 
 use super::Policy;
 use crate::interface::{Action, LoadReport, StateChange};
-use crate::state::{EndpointKey, EndpointState, RoleClaim};
+use crate::state::{ClusterClock, EndpointKey, EndpointState, RoleClaim};
 
 /// Assumed age of the roles in the endpoint list, as a share of the watch gap.
 const LISTED_ROLE_AGE: f64 = 0.5;
 /// Queued requests are dispatched while the primary has fewer requests in flight than this.
 const MAX_IN_FLIGHT_WHEN_DEQUEUING: u32 = 6;
-/// How far a log position may lie in the future, for the sake of rounding (seconds).
-const CLOCK_TOLERANCE: f64 = 0.001;
 
 impl EndpointState {
     /// Takes in a reported log position, which never goes back, and a reported role. A role in an answer is
     /// as of now; one in a load report, whose age is unknown, is as of its log position.
-    pub(crate) fn observe(&mut self, report: &LoadReport, is_answer: bool, now: f64) {
-        let position = report.log_position.filter(|p| p.is_finite() && *p <= now + CLOCK_TOLERANCE);
+    pub(crate) fn observe(&mut self, report: &LoadReport, is_answer: bool, clock: &ClusterClock, now: f64) {
+        let position = report.log_position.filter(|position| clock.is_credible(*position, now));
         // A claim with a position below the known one was written earlier: it may be no primary by now.
         let is_outdated = position.is_some_and(|p| p < self.log_position);
         if let Some(position) = position.filter(|p| *p > self.log_position) {
@@ -23,7 +21,8 @@
             self.log_position_at = now;
         }
         let Some(primary) = report.primary.filter(|primary| !primary || !is_outdated) else { return };
-        let at = if is_answer { now } else { position.unwrap_or(f64::NEG_INFINITY) };
+        let reported_at = || position.map_or(f64::NEG_INFINITY, |position| clock.to_local(position, now));
+        let at = if is_answer { now } else { reported_at() };
         if self.role.is_none_or(|known| at >= known.at) {
             self.role = Some(RoleClaim { primary, at });
         }
--- a/src/policy/primary_search.rs
+++ b/src/policy/primary_search.rs
@@ -60,7 +60,7 @@
         self.endpoints[endpoint].health_check_in_flight = false;
         match outcome {
             // Not recorded as a success: an endpoint that hangs still answers health checks.
-            Outcome::Success => self.endpoints[endpoint].observe(report, false, self.now),
+            Outcome::Success => self.observe_report(endpoint, report),
             // Endpoints limit the rate of health checks: a rejection is no failure.
             Outcome::Overloaded | Outcome::NotSent => {}
             _ => self.record_failure(endpoint, FAILURE),
--- a/src/policy/read_routing.rs
+++ b/src/policy/read_routing.rs
@@ -48,7 +48,7 @@
         Some(Read {
             request,
             is_eventual: consistency == Consistency::Eventual,
-            needed: consistency.required_position(self.now, request.session_token),
+            needed: consistency.required_position(self.present_for_reads(self.now), request.session_token),
             slow_start_share: self.read_slow_start_share(group),
             draws,
             primary: group.primary,
@@ -70,9 +70,9 @@
     /// if it has had as much time to catch up as its lag was, or if its position is unknown.
     fn may_be_fresh(&self, read: &Read, endpoint: EndpointKey) -> bool {
         let endpoint = &self.endpoints[endpoint];
-        let lag = endpoint.log_position_at - endpoint.log_position;
+        let lag = endpoint.lag(&self.clock);
         let has_caught_up = self.now - endpoint.log_position_at > lag;
-        let is_possible = self.now - lag >= read.needed || has_caught_up || lag.is_nan();
+        let is_possible = self.clock.likely(self.now) - lag >= read.needed || has_caught_up || lag.is_nan();
         self.settings.stale_reads.is_checked() && is_possible && self.now >= endpoint.stale_until
     }
 
@@ -85,7 +85,7 @@
     }
 
     fn is_behind(&self, endpoint: EndpointKey) -> bool {
-        self.endpoints[endpoint].log_position < self.now - self.shortest_staleness
+        self.endpoints[endpoint].log_position < self.clock.likely(self.now) - self.shortest_staleness
     }
 
     fn choose_replica(&self, read: &Read) -> Option<EndpointKey> {
--- a/src/policy/results.rs
+++ b/src/policy/results.rs
@@ -14,9 +14,8 @@
 impl Policy {
     pub(super) fn attempt_finished(&mut self, result: &AttemptResult) {
         let Some(endpoint) = self.endpoints.key(&result.endpoint) else { return };
-        let answer = LoadReport { log_position: result.log_position, primary: result.primary };
-        self.endpoints[endpoint].observe(&answer, true, self.now);
-        self.endpoints[endpoint].observe(&result.report, false, self.now);
+        self.observe_answer(endpoint, result);
+        self.observe_report(endpoint, &result.report);
         if let Some((key, attempt)) = self.requests.close_attempt(result) {
             self.record_result(key, &attempt, result);
             let state = &self.endpoints[endpoint];
@@ -29,10 +28,32 @@
         self.elect_primary(self.endpoints[endpoint].group);
     }
 
+    /// Takes in what an answer tells of its endpoint and of the hosts' clock.
+    fn observe_answer(&mut self, endpoint: EndpointKey, result: &AttemptResult) {
+        let (now, sent_at) = (self.now, self.requests.attempt(result).map(|attempt| attempt.sent_at));
+        if let Some(position) = result.log_position {
+            match sent_at.filter(|_| result.primary == Some(true)) {
+                Some(sent_at) => self.clock.observe_present_time(position, sent_at, now),
+                None => self.clock.observe_past_time(position, now),
+            }
+        }
+        let answer = LoadReport { log_position: result.log_position, primary: result.primary };
+        self.endpoints[endpoint].observe(&answer, true, &self.clock, now);
+    }
+
+    /// Takes in what an endpoint has reported about itself some time ago.
+    pub(super) fn observe_report(&mut self, endpoint: EndpointKey, report: &LoadReport) {
+        if let Some(position) = report.log_position {
+            self.clock.observe_past_time(position, self.now);
+        }
+        self.endpoints[endpoint].observe(report, false, &self.clock, self.now);
+    }
+
     fn record_result(&mut self, key: RequestKey, attempt: &Attempt, result: &AttemptResult) {
         let Some(class) = self.requests.get(key).map(|request| request.class) else { return };
         let endpoint = attempt.endpoint;
         let (now, latency) = (self.now, self.latency[class]);
+        let hosts_time = self.clock.likely(now);
         let ratio = (result.elapsed / latency.mean).min(MAX_LATENCY_RATIO);
         let state = &mut self.endpoints[endpoint];
         state.attempt_ended(result.outcome, now);
@@ -45,7 +66,7 @@
             }
             // A replica that is behind needs at least as long as its lag to catch up.
             Outcome::Ineligible => {
-                let lag = (now - state.log_position).clamp(0.0, self.settings.slow_start_window);
+                let lag = (hosts_time - state.log_position).clamp(0.0, self.settings.slow_start_window);
                 state.stale_until = now + lag.max(self.settings.connect_timeout);
             }
             // Counts as load for a while: rejecting requests must not make an endpoint look idle.
--- a/src/policy/sessions.rs
+++ b/src/policy/sessions.rs
@@ -21,9 +21,11 @@
         // A write of the session that is in flight may have been executed already.
         let mut same_session = self.requests.iter().filter(|(_, other)| other.session == request.session);
         if same_session.any(|(_, other)| self.class(other.class).is_write() && !other.untried()) {
-            return self.now;
+            return self.present_for_reads(self.now);
         }
-        self.sessions.last_commit(request.session.as_ref())
+        let remembered = self.sessions.last_commit(request.session.as_ref());
+        let unknown = Some(self.unknown_writes_until).filter(|until| until.is_finite());
+        unknown.map_or(remembered, |until| remembered.max(self.present_for_reads(until)))
     }
 
     /// Remembers the commit of a write. One whose commit is unknown was committed before now at the latest.
@@ -32,8 +34,15 @@
         let Some(request) = self.requests.get(key).filter(is_remembered) else { return };
         let is_write = self.class(request.class).is_write() && !result.outcome.proves_not_executed();
         let Some(session) = request.session.clone().filter(|_| is_write) else { return };
-        let commit = result.log_position.filter(|p| result.outcome == Outcome::Success && *p <= self.now);
-        self.sessions.remember(session, commit.unwrap_or(self.now));
-        self.sessions.forget(MAX_SESSION_WRITES, self.now - MAX_SESSION_AGE);
+        let is_credible = |position: &f64| self.clock.is_credible(*position, self.now);
+        let told = result.log_position.filter(|_| result.outcome == Outcome::Success).filter(is_credible);
+        let commit = told.unwrap_or_else(|| self.present_for_reads(self.now));
+        if commit.is_finite() {
+            self.sessions.remember(session, commit);
+        } else {
+            // The hosts' clock is not known yet.
+            self.unknown_writes_until = self.now;
+        }
+        self.sessions.forget(MAX_SESSION_WRITES, self.clock.likely(self.now) - MAX_SESSION_AGE);
     }
 }
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -12,7 +12,8 @@
 
 impl Policy {
     fn capacity(&self, endpoint: EndpointKey) -> f64 {
-        self.settings.capacity_after(self.now - self.endpoints[endpoint].warming_since)
+        let uptime = self.endpoints[endpoint].min_uptime(&self.clock, self.now);
+        uptime.map_or(1.0, |uptime| self.settings.capacity_after(uptime))
     }
 
     /// Whether an endpoint that is warming up may get this request, at most once. The request's sampling draw
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -161,6 +161,8 @@
     pub pooler_count: u32,
     /// The pooler's own zone.
     pub zone: u32,
+    /// Whether the pooler reads the same clock as the endpoints. A machine's own clock may be wrong.
+    pub shares_host_clock: bool,
     /// Shortest time between two batches of events.
     pub tick: f64,
     /// Whether health checks are allowed and their reports tell a log position or a role.
@@ -231,6 +233,7 @@
             over_quota_weight: 1.0,
             pooler_count: 1,
             zone: 0,
+            shares_host_clock: true,
             tick: 0.005,
             health_checks: false,
             cancellation: true,
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -1,5 +1,6 @@
 //! An endpoint, as far as this pooler knows it.
 
+use super::ClusterClock;
 use crate::interface::{Endpoint, EndpointId, EndpointStatus, Outcome, UpdateKind};
 
 const NEVER: f64 = f64::NEG_INFINITY;
@@ -13,9 +14,10 @@
     pub status: EndpointStatus,
     /// It was listed as draining: binding even where removal is only advisory.
     pub drain_announced: bool,
+    /// When it last started, on the hosts' clock; 0 for long ago.
     pub started_at: f64,
-    /// Since when it has been warming up; long ago for one that is warm.
-    pub warming_since: f64,
+    /// When that start was first listed.
+    pub start_listed_at: f64,
     /// When it was last listed as anything but removed.
     pub last_listed_at: f64,
     pub listed_primary: bool,
@@ -123,7 +125,7 @@
             id,
             zone,
             group,
-            warming_since: NEVER,
+            start_listed_at: NEVER,
             log_position: NEVER,
             log_position_at: NEVER,
             last_response_at: NEVER,
@@ -138,7 +140,7 @@
         self.zone = entry.zone;
         if entry.started_at > self.started_at {
             self.started_at = entry.started_at;
-            self.warming_since = self.warming_since.max(entry.started_at.min(now));
+            self.start_listed_at = now;
             self.health.failure_score = 0.0;
             self.health.ejected_until = 0.0;
             self.health.is_ejected = false;
@@ -155,6 +157,17 @@
         self.status = entry.status;
     }
 
+    /// For how long it has been up at least, if it was started lately enough for the list to tell.
+    pub fn min_uptime(&self, clock: &ClusterClock, now: f64) -> Option<f64> {
+        let has_started = self.started_at > 0.0;
+        has_started.then(|| (clock.earliest(now) - self.started_at).max(now - self.start_listed_at))
+    }
+
+    /// How far it was behind when it reported its log position.
+    pub fn lag(&self, clock: &ClusterClock) -> f64 {
+        clock.likely(self.log_position_at) - self.log_position
+    }
+
     /// Whether it has answered nothing since this time.
     pub fn is_silent_since(&self, time: f64) -> bool {
         self.last_response_at < time
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! What the policy keeps of endpoints, groups and requests: plain data and containers. Nothing is decided
 //! here; every threshold and weight belongs to [`crate::policy`].
 
+mod cluster_clock;
 mod endpoint;
 mod endpoint_table;
 mod group;
@@ -15,6 +16,7 @@
 mod token_bucket;
 mod watch;
 
+pub(crate) use cluster_clock::{ClusterClock, OffsetBound, OffsetInterval};
 pub(crate) use endpoint::{EndpointState, OutlierDetector, RoleClaim};
 pub(crate) use endpoint_table::{EndpointKey, EndpointTable};
 pub(crate) use group::Group;
--- a/src/state/policy.rs
+++ b/src/state/policy.rs
@@ -1,6 +1,9 @@
 //! The state of a policy.
 
-use super::{EndpointKey, EndpointTable, LatencyEstimator, RequestTable, SessionTable, TokenBucket, Watch};
+use super::{
+    ClusterClock, EndpointKey, EndpointTable, LatencyEstimator, RequestTable, SessionTable, TokenBucket,
+    Watch,
+};
 use crate::interface::Action;
 use crate::settings::{RequestClass, Settings};
 
@@ -9,6 +12,8 @@
     pub(crate) settings: Settings,
     pub(crate) rng: fastrand::Rng,
     pub(crate) now: f64,
+    /// The clock by which log positions and start times are given.
+    pub(crate) clock: ClusterClock,
     /// What is to be done about the present event.
     pub(crate) actions: Vec<Action>,
     pub(crate) housekeeping_interval: f64,
@@ -22,6 +27,8 @@
     /// The shortest staleness bound of any class.
     pub(crate) shortest_staleness: f64,
     pub(crate) sessions: SessionTable,
+    /// Any session may have written until then, although no write of it is remembered.
+    pub(crate) unknown_writes_until: f64,
     pub(crate) watch: Watch,
     pub(crate) retry_budget: TokenBucket,
     pub(crate) health_check_budget: TokenBucket,
@@ -38,6 +45,7 @@
         let staleness_bounds = settings.classes.iter().filter_map(RequestClass::staleness_bound);
         Policy {
             shortest_staleness: staleness_bounds.fold(1.0, f64::min),
+            clock: ClusterClock::new(settings.shares_host_clock),
             settings,
             rng,
             now: 0.0,
@@ -49,6 +57,7 @@
             latency: Vec::new(),
             read_share: 1.0,
             sessions: SessionTable::default(),
+            unknown_writes_until: f64::NEG_INFINITY,
             watch: Watch::default(),
             retry_budget: TokenBucket::default(),
             health_check_budget: TokenBucket::default(),
--- a/src/state/request_table.rs
+++ b/src/state/request_table.rs
@@ -95,6 +95,11 @@
         counts
     }
 
+    /// The attempt whose end a result tells.
+    pub fn attempt(&self, result: &AttemptResult) -> Option<&Attempt> {
+        self.get(self.key(&result.id)?)?.attempts.get(result.attempt)
+    }
+
     /// Marks an attempt as ended. Returns its request and a copy of it, unless it had ended before.
     pub fn close_attempt(&mut self, result: &AttemptResult) -> Option<(RequestKey, Attempt)> {
         let key = self.key(&result.id)?;
--- a/src/state/tests/endpoint.rs
+++ b/src/state/tests/endpoint.rs
@@ -1,7 +1,10 @@
 //! What is known of one endpoint.
 
 use crate::interface::{Endpoint, EndpointStatus, LoadReport, Outcome, UpdateKind};
-use crate::state::EndpointState;
+use crate::state::{ClusterClock, EndpointState};
+
+/// The clock of a pooler that reads the same as the hosts.
+const CLOCK: ClusterClock = ClusterClock::new(true);
 
 fn endpoint() -> EndpointState {
     EndpointState::new("db-1".into(), 0, 0)
@@ -14,34 +17,34 @@
 #[test]
 fn a_log_position_never_goes_back_and_is_never_in_the_future() {
     let mut endpoint = endpoint();
-    endpoint.observe(&told(10.0, false), true, 10.0);
-    endpoint.observe(&told(9.0, false), true, 11.0);
-    endpoint.observe(&told(50.0, false), true, 12.0);
-    endpoint.observe(&told(f64::NAN, false), true, 13.0);
+    endpoint.observe(&told(10.0, false), true, &CLOCK, 10.0);
+    endpoint.observe(&told(9.0, false), true, &CLOCK, 11.0);
+    endpoint.observe(&told(50.0, false), true, &CLOCK, 12.0);
+    endpoint.observe(&told(f64::NAN, false), true, &CLOCK, 13.0);
     assert_eq!((endpoint.log_position, endpoint.log_position_at), (10.0, 10.0));
 }
 
 #[test]
 fn a_claim_with_an_old_position_was_made_before_the_present_one() {
     let mut endpoint = endpoint();
-    endpoint.observe(&told(10.0, false), true, 10.0);
-    endpoint.observe(&told(9.0, true), true, 10.1);
+    endpoint.observe(&told(10.0, false), true, &CLOCK, 10.0);
+    endpoint.observe(&told(9.0, true), true, &CLOCK, 10.1);
     assert_eq!(endpoint.primary_claim(5.0), None);
-    endpoint.observe(&told(10.2, true), true, 10.2);
+    endpoint.observe(&told(10.2, true), true, &CLOCK, 10.2);
     assert_eq!(endpoint.primary_claim(5.0), Some(10.2));
 }
 
 #[test]
 fn a_role_in_a_report_is_as_old_as_its_position() {
     let mut endpoint = endpoint();
-    endpoint.observe(&told(10.0, true), false, 12.0);
+    endpoint.observe(&told(10.0, true), false, &CLOCK, 12.0);
     assert_eq!(endpoint.primary_claim(5.0), Some(10.0));
 }
 
 #[test]
 fn a_listed_role_counts_only_if_it_is_newer_than_what_the_endpoint_said() {
     let mut endpoint = endpoint();
-    endpoint.observe(&told(10.0, false), true, 10.0);
+    endpoint.observe(&told(10.0, false), true, &CLOCK, 10.0);
     let entry = Endpoint { id: "db-1".into(), primary: true, ..Endpoint::default() };
     endpoint.apply(UpdateKind::Delta, &entry, 12.0);
     assert_eq!(endpoint.primary_claim(5.0), None);
@@ -57,7 +60,7 @@
     let entry = Endpoint { id: "db-1".into(), started_at: 9.0, ..Endpoint::default() };
     endpoint.apply(UpdateKind::Delta, &entry, 10.0);
     assert_eq!((endpoint.health.failure_score, endpoint.health.is_ejected), (0.0, false));
-    assert_eq!((endpoint.health.ejected_until, endpoint.warming_since), (0.0, 9.0));
+    assert_eq!((endpoint.health.ejected_until, endpoint.min_uptime(&CLOCK, 10.0)), (0.0, Some(1.0)));
 }
 
 #[test]
--- a/src/state/tests/mod.rs
+++ b/src/state/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Unit tests of the containers that the policy keeps its data in.
 
+mod cluster_clock;
 mod endpoint;
 mod endpoint_table;
 mod estimates;
--- a/tests/loopback/cancellation.rs
+++ b/tests/loopback/cancellation.rs
@@ -59,7 +59,7 @@
 #[case::disconnected(false)]
 fn a_queued_query_whose_client_has_gone_is_not_sent(#[case] cancels: bool) {
     let host = DatabaseHost::new();
-    let (pooler, _discovery) = start_with_one_host(&host, &[HEALTH_CHECKS]);
+    let (pooler, _discovery, _primary) = start_with_known_clock(&host, &[HEALTH_CHECKS]);
     let (mut waiting, cancel_request) = connect_client_with_cancel_request(&pooler);
     waiting.send(&Request::new("1", "browse").message());
     let mut backend = host.accept();
--- a/tests/loopback/harness/discovery.rs
+++ b/tests/loopback/harness/discovery.rs
@@ -31,6 +31,11 @@
         EndpointEntry { status, ..self }
     }
 
+    /// Sets the group.
+    pub fn with_group(self, group: u32) -> EndpointEntry {
+        EndpointEntry { group, ..self }
+    }
+
     /// Sets when the host last started.
     pub fn with_start(self, since_ms: i64) -> EndpointEntry {
         EndpointEntry { since_ms, ..self }
--- a/tests/loopback/harness/setup.rs
+++ b/tests/loopback/harness/setup.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use super::{Connection, DatabaseHost, DiscoveryService, Edit, EndpointList, Pooler, Request, Role};
+use super::wire::result_response_with_position;
+use super::{
+    connect_client, Connection, DatabaseHost, DiscoveryService, Edit, EndpointList, Pooler, Request, Role,
+};
 
 /// A value with bytes that are neither text nor free of zeros.
 pub const BINARY_VALUE: &[u8] = b"\x9f\x00\x03";
@@ -20,6 +23,30 @@
     (Pooler::start(&known, &discovery, edits), discovery)
 }
 
+/// The group of the primary that [`start_with_known_clock`] adds.
+const OTHER_GROUP: u32 = 3;
+
+/// Starts a pooler that knows one database host, and a primary of another group, whose answer to a write has
+/// shown it the hosts' clock.
+pub fn start_with_known_clock(
+    host: &DatabaseHost,
+    edits: &[Edit],
+) -> (Pooler, DiscoveryService, DatabaseHost) {
+    let discovery = DiscoveryService::new();
+    let primary = DatabaseHost::new();
+    let primary_entry = primary.entry("s-9", "there").with_group(OTHER_GROUP).with_access("writer");
+    let known = EndpointList::snapshot(41, [host.entry("s-1", "here"), primary_entry]);
+    let pooler = Pooler::start(&known, &discovery, edits);
+    let mut client = connect_client(&pooler);
+    client.send(&Request::new("clock", "order-write").group(OTHER_GROUP).message());
+    let mut backend = primary.accept();
+    backend.receive_query();
+    let position = unix_time().as_millis() as i64;
+    backend.send(&result_response_with_position(BINARY_VALUE, Role::Writer, position));
+    client.receive_response();
+    (pooler, discovery, primary)
+}
+
 /// Starts a pooler that knows two database hosts. The first is in its own zone and preferred.
 pub fn start_with_two_hosts(near: &DatabaseHost, far: &DatabaseHost) -> (Pooler, DiscoveryService) {
     let discovery = DiscoveryService::new();
--- a/tests/loopback/routing.rs
+++ b/tests/loopback/routing.rs
@@ -40,7 +40,7 @@
 #[test]
 fn only_a_valid_load_report_shows_that_a_replica_is_fresh_enough() {
     let host = DatabaseHost::new();
-    let (pooler, _discovery) = start_with_one_host(&host, &[HEALTH_CHECKS]);
+    let (pooler, _discovery, _primary) = start_with_known_clock(&host, &[HEALTH_CHECKS]);
     let mut client = connect_client(&pooler);
     client.send(&Request::new("1", "browse").message());
     let mut backend = host.accept();
