--- a/tests/policy/slow_start.rs
+++ b/tests/policy/slow_start.rs
@@ -6,7 +6,8 @@
 
 use crate::harness::{
     default_settings, first_endpoint, primary, replica, sent_endpoints, FinishedAttempt, Simulation,
-    BOUNDED_READ, EVENTUAL_READ, LOCAL_REPLICA, LOCAL_ZONE, PRIMARY, REMOTE_REPLICA, REMOTE_ZONE,
+    BOUNDED_READ, EVENTUAL_READ, KEYED_WRITE, LOCAL_REPLICA, LOCAL_ZONE, PRIMARY, REMOTE_REPLICA,
+    REMOTE_ZONE,
 };
 
 /// Remote replicas of the fleet test, all at full capacity.
@@ -138,3 +139,94 @@
     assert!(reads.len() > 10, "it gets some: {}", reads.len());
     assert_never_overloaded(&reads, total_work / (FLEET_SECONDS * FLEET_RATE), fleet.started_at, &settings);
 }
+
+/// Requests per second of the fleet in a burst.
+const BURST_RATE: f64 = 3.0 * FLEET_RATE;
+/// Seconds of usual traffic before the burst.
+const SECONDS_BEFORE_BURST: f64 = 10.0;
+
+/// Requests that reach an endpoint in slow start must stay within its limit and what chance adds to that,
+/// which is more where the limit is below thirty requests.
+fn assert_within_limit(sent_at: &[f64], started_at: f64, settings: &Settings) {
+    let full_capacity = FLEET_RATE / 6.0 / 0.8;
+    for (first, start) in sent_at.iter().enumerate() {
+        let window = sent_at[first..].iter().take_while(|sent| **sent <= start + settings.overload_window);
+        let capacity = settings.capacity_after(start - started_at) * full_capacity;
+        let limit = settings.overload_limit * capacity * settings.overload_window;
+        let chance = if limit < 30.0 { 3.0 } else { 2.0 };
+        let count = window.count() as f64;
+        assert!(
+            count <= limit + chance * limit.sqrt() + chance,
+            "{count} over a limit of {limit}, at {start}"
+        );
+    }
+}
+
+/// The share of the traffic that an endpoint in slow start gets was once the same in a burst of three times
+/// the mean, which exceeds what it bears.
+#[rstest]
+fn a_burst_just_after_the_start_does_not_overload_a_warming_endpoint(
+    #[values(3, 20)] pooler_count: u32,
+    #[values(1.5, 4.0)] overload_limit: f64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let settings = Settings { pooler_count, overload_limit, ..default_settings() };
+    let mut fleet = Fleet::new(&settings, seed);
+    let before = (SECONDS_BEFORE_BURST * FLEET_RATE) as usize;
+    let first_time = fleet.started_at;
+    for i in 0..before {
+        fleet.serve(&format!("usual{i}"), BOUNDED_READ, first_time + i as f64 / FLEET_RATE, 1.0);
+    }
+    let restarted_at = first_time + SECONDS_BEFORE_BURST;
+    for sim in &mut fleet.poolers {
+        sim.now = restarted_at;
+        sim.update_endpoints(UpdateKind::Delta, vec![warming_replica(restarted_at)]);
+    }
+    let mut sent_at = Vec::new();
+    for i in 0..(FLEET_SECONDS * BURST_RATE) as usize {
+        let now = restarted_at + i as f64 / BURST_RATE;
+        if fleet.serve(&format!("burst{i}"), BOUNDED_READ, now, 1.0) == LOCAL_REPLICA {
+            sent_at.push(now);
+        }
+    }
+    assert!(sent_at.len() > 10, "it gets some: {}", sent_at.len());
+    assert_within_limit(&sent_at, restarted_at, &settings);
+}
+
+/// Writes and the reads that overflow to a primary were once limited each by itself, and in their sum
+/// exceeded what it bears.
+#[rstest]
+fn writes_and_overflowing_reads_together_do_not_overload_a_warming_primary(
+    #[values(1.5, 3.0, 4.0)] overload_limit: f64,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let settings = Settings { overload_limit, ..default_settings() };
+    let mut sim = Simulation::with_endpoints(settings.clone(), seed, |now| {
+        let remote = REMOTE_REPLICAS.map(|id| replica(id, REMOTE_ZONE));
+        [vec![Endpoint { started_at: now, ..primary(PRIMARY, LOCAL_ZONE) }], remote.to_vec()].concat()
+    });
+    let started_at = sim.now;
+    let mut sent_at = Vec::new();
+    for i in 0..FLEET_REQUESTS {
+        sim.advance_time(1.0 / FLEET_RATE);
+        // Four fifths of a primary's full capacity are writes. All replicas reject the other requests as too
+        // stale.
+        let class = if i % 6 == 0 { KEYED_WRITE } else { BOUNDED_READ };
+        let id = format!("q{i}");
+        let mut target = first_endpoint(&sim.request(&id, class));
+        let mut attempt = 0;
+        while let Some(endpoint) = target {
+            let is_primary = endpoint == PRIMARY;
+            if is_primary {
+                sent_at.push(sim.now);
+            }
+            let outcome = if is_primary { Outcome::Success } else { Outcome::Ineligible };
+            let finished = FinishedAttempt::new(&id, &endpoint, outcome).number(attempt).primary(is_primary);
+            let position = if is_primary { sim.now } else { sim.now - 5.0 };
+            target = first_endpoint(&sim.finish_attempt_with(finished.log_position(position)));
+            attempt += 1;
+        }
+    }
+    assert!(sent_at.len() > 10, "it gets some: {}", sent_at.len());
+    assert_within_limit(&sent_at, started_at, &settings);
+}
