--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -35,7 +35,7 @@
         self.health_check_budget.deposit(HEALTH_CHECKS_PER_REQUEST);
         let quota = self.tenant_quotas.get_mut(request.tenant);
         let over_quota = quota.is_some_and(|quota| !quota.refill(now).withdraw());
-        self.endpoints.request_received(request.group, now);
+        self.count_group_request(request.group);
         let key = self.requests.insert(PendingRequest {
             objective_at: now + objective,
             deadline: now + time_left,
--- a/src/state/endpoint_table.rs
+++ b/src/state/endpoint_table.rs
@@ -39,13 +39,6 @@
         self.groups.get(&group)?.primary
     }
 
-    /// Notes that a request for a group was received.
-    pub fn request_received(&mut self, group: u32, now: f64) {
-        if let Some(group) = self.groups.get_mut(&group) {
-            group.last_request_at = now;
-        }
-    }
-
     /// Appends a request to the queue of its group, unless it is there.
     pub fn queue(&mut self, key: RequestKey, requests: &mut RequestTable) {
         let Some(request) = requests.get_mut(key) else { return };
--- a/src/state/group.rs
+++ b/src/state/group.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use super::{EndpointKey, RequestKey};
+use super::{EndpointKey, EventRate, RequestKey};
 
 /// One primary and its replicas.
 #[derive(Default)]
@@ -19,6 +19,12 @@
     pub discovery_write: Option<RequestKey>,
     /// When the last request for this group was received.
     pub last_request_at: f64,
+    /// How often requests for this group are received at present, and as a rule.
+    pub present_rate: EventRate,
+    pub usual_rate: EventRate,
+    /// The usual rate as a share of the present one when the last request was received: 1 outside of bursts;
+    /// none before the first request.
+    pub usual_traffic_share: Option<f64>,
 }
 
 impl Group {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod cluster_clock;
 mod endpoint;
 mod endpoint_table;
+mod event_rate;
 mod group;
 mod latency;
 mod policy;
@@ -19,6 +20,7 @@
 pub(crate) use cluster_clock::{ClusterClock, OffsetBound, OffsetInterval};
 pub(crate) use endpoint::{EndpointState, OutlierDetector, RoleClaim};
 pub(crate) use endpoint_table::{EndpointKey, EndpointTable};
+pub(crate) use event_rate::EventRate;
 pub(crate) use group::Group;
 pub(crate) use latency::LatencyEstimator;
 pub use policy::Policy;
