Test registrations that fail and responses that are read slowly: they fail

For a test that needs no strace, Reactor::register lets registrations fail under cfg(test).

- A client whose registration fails is reset.
- A connection that is being closed makes room for a new client while its last response is still to be written.
- A response that is not read within 1 s (closing) or 2 s is cut, although its client may wait for longer.

--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -132,9 +132,9 @@
     fn register(&mut self, id: ConnectionId, context: &mut Context) {
         let Some(connection) = self.pool.get_mut(id) else { return };
         context.reactor.set_timer(connection.state_deadline, TimerEvent::Server(id));
-        let token = EventSource::Server(id).into();
         let interests = Interest::READABLE | Interest::WRITABLE;
-        if context.reactor.registry.register(&mut connection.stream, token, interests).is_err() {
+        let source = EventSource::Server(id);
+        if context.reactor.register(&mut connection.stream, source, interests).is_err() {
             self.handle_progress(id, Progress::Failed(Outcome::ConnectFailed), context);
         }
     }
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -64,10 +64,9 @@
         let watch = self.watches.get_mut(id).ok_or(WatchError::NotConnected)?;
         watch.request_changes(self.index, self.address).map_err(|_| WatchError::NotConnected)?;
         let interest = Interest::READABLE | Interest::WRITABLE;
-        let registry = &context.reactor.registry;
-        registry
-            .register(&mut watch.stream, EventSource::Discovery(id).into(), interest)
-            .map_err(|_| WatchError::NotConnected)?;
+        let source = EventSource::Discovery(id);
+        let registered = context.reactor.register(&mut watch.stream, source, interest);
+        registered.map_err(|_| WatchError::NotConnected)?;
         context.reactor.set_timer(now + timeouts.head, TimerEvent::Discovery(id));
         Ok(())
     }
--- a/src/net/frontend/acceptor.rs
+++ b/src/net/frontend/acceptor.rs
@@ -30,8 +30,7 @@
 impl Acceptor {
     /// Registers the listener with the reactor.
     pub(super) fn new(mut listener: TcpListener, context: &mut Context) -> io::Result<Acceptor> {
-        let token = EventSource::Listener.into();
-        context.reactor.registry.register(&mut listener, token, Interest::READABLE)?;
+        context.reactor.register(&mut listener, EventSource::Listener, Interest::READABLE)?;
         Ok(Acceptor {
             listener: Some(listener),
             is_closing: false,
@@ -60,7 +59,7 @@
 }
 
 /// Where a new connection can be placed.
-enum Room {
+pub(super) enum Room {
     /// The connection limit is not reached.
     Available,
     /// The limit is reached, but this connection can be closed in favour of a new one.
@@ -141,7 +140,7 @@
 
     /// Looks for room for one connection. An idle connection is closed only once a new one is there, so the
     /// new one uses a spare descriptor for a moment.
-    fn find_room(&self) -> Room {
+    pub(super) fn find_room(&self) -> Room {
         if self.connections.len() < self.max_connections {
             return Room::Available;
         }
--- a/src/net/frontend/connection.rs
+++ b/src/net/frontend/connection.rs
@@ -102,7 +102,7 @@
     /// Registers the socket with the reactor.
     pub(super) fn register(&mut self, id: ConnectionId, context: &mut Context) -> io::Result<()> {
         let interest = Interest::READABLE | Interest::WRITABLE;
-        context.reactor.registry.register(&mut self.stream, EventSource::Client(id).into(), interest)
+        context.reactor.register(&mut self.stream, EventSource::Client(id), interest)
     }
 
     /// Reads, processes and writes as much as possible without blocking.
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -219,3 +219,6 @@
     };
     *counter += 1;
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/frontend/tests.rs
@@ -0,0 +1,113 @@
+//! Connections of clients where the system is short of memory or a client reads slowly.
+
+use std::collections::VecDeque;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+use mio::{Events, Poll};
+
+use super::acceptor::Room;
+use super::*;
+use crate::net::reactor::{EventSource, Reactor};
+
+const MEMORY: usize = 1_000_000;
+/// Less than the kernel's buffers would otherwise hold.
+const SOCKET_BUFFER: usize = 4096;
+/// More than fits into the buffers of both sockets.
+static LONG_RESPONSE: [u8; 150_000] = [b'x'; 150_000];
+/// Long after the time in which a client has to read its last message once it is written (seconds).
+const LONG_AFTER_LINGER: f64 = 1.9;
+/// A startup message without parameters.
+const STARTUP: &[u8] = b"\0\0\0\x09\0\x03\0\0\0";
+/// Keys of connections start with this message type.
+const AUTHENTICATION: u8 = b'R';
+
+/// A frontend with room for one connection, and one client.
+struct Fixture {
+    poll: Poll,
+    context: Context,
+    frontend: Frontend,
+    client: TcpStream,
+}
+
+impl Fixture {
+    /// Connects a client whose registration fails so many times.
+    fn new(failing_registrations: usize) -> Fixture {
+        let poll = Poll::new().unwrap();
+        let reactor = Reactor::new(&poll).unwrap();
+        let mut context = Context { reactor, events: VecDeque::new(), counters: Counters::default() };
+        let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        socket2::SockRef::from(&listener).set_send_buffer_size(SOCKET_BUFFER).unwrap();
+        let address = listener.local_addr().unwrap();
+        let budget = MemoryBudget::new(MEMORY);
+        let mut frontend = Frontend::new(listener, 1, budget, 1, &mut context).unwrap();
+        let client = TcpStream::connect(address).unwrap();
+        socket2::SockRef::from(&client).set_recv_buffer_size(SOCKET_BUFFER).unwrap();
+        context.reactor.failing_registrations = failing_registrations;
+        frontend.accept(&mut context);
+        Fixture { poll, context, frontend, client }
+    }
+
+    fn connection_id(&self) -> ConnectionId {
+        let (id, _) = self.frontend.connections.iter().next().expect("the client is connected");
+        id
+    }
+
+    fn connection(&mut self) -> &mut Connection {
+        let id = self.connection_id();
+        self.frontend.connections.get_mut(id).unwrap()
+    }
+
+    /// Queues a response that does not fit into the sockets, and starts to close the connection.
+    fn close_with_long_response(&mut self) {
+        let id = self.connection_id();
+        let connection = self.frontend.connections.get_mut(id).unwrap();
+        connection.output.push(&LONG_RESPONSE).unwrap();
+        connection.start_closing(id, &mut self.context);
+        self.frontend.ready(id, &mut self.context);
+        assert!(!self.connection().output.is_empty(), "the response does not fit");
+    }
+}
+
+/// A connection once was reset where the system had no memory to report its events.
+#[test]
+fn a_client_is_served_although_its_registration_fails_at_first() {
+    let mut fixture = Fixture::new(2);
+    let id = fixture.connection_id();
+    fixture.client.write_all(STARTUP).unwrap();
+    // The second registration fails too, the third succeeds.
+    for _ in 0..2 {
+        fixture.frontend.timer_expired(id, &mut fixture.context);
+    }
+    let mut kind = [0];
+    fixture.client.read_exact(&mut kind).unwrap();
+    assert_eq!(kind[0], AUTHENTICATION);
+    let mut events = Events::with_capacity(4);
+    fixture.poll.poll(&mut events, None).unwrap();
+    assert!(events.iter().any(|event| EventSource::from(event.token()) == EventSource::Client(id)));
+}
+
+/// A connection whose last response was still to be written once made room for a new client.
+#[test]
+fn a_closing_connection_makes_room_only_once_its_response_is_written() {
+    let mut fixture = Fixture::new(0);
+    fixture.close_with_long_response();
+    assert!(matches!(fixture.frontend.find_room(), Room::Full));
+    let mut client = fixture.client.try_clone().unwrap();
+    std::thread::spawn(move || client.read_exact(&mut vec![0; LONG_RESPONSE.len()]));
+    let id = fixture.connection_id();
+    while !fixture.connection().output.is_empty() {
+        fixture.frontend.ready(id, &mut fixture.context);
+    }
+    assert!(matches!(fixture.frontend.find_room(), Room::Replace(replaced) if replaced == id));
+}
+
+/// A response that was still to be written was once cut a second after the connection began to close, and any
+/// other response after two seconds, although requests may take longer.
+#[test]
+fn a_client_has_as_long_to_read_its_response_as_it_may_wait_for_it() {
+    let mut fixture = Fixture::new(0);
+    fixture.close_with_long_response();
+    let long_after = fixture.context.reactor.now() + LONG_AFTER_LINGER;
+    assert!(!fixture.connection().deadline.has_expired(long_after));
+}
--- a/src/net/pooler/startup.rs
+++ b/src/net/pooler/startup.rs
@@ -106,9 +106,9 @@
 }
 
 /// Has the reactor report the signals that the pooler handles.
-fn register_signals(context: &Context) -> io::Result<Signals> {
+fn register_signals(context: &mut Context) -> io::Result<Signals> {
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR1])?;
-    context.reactor.registry.register(&mut signals, EventSource::Signals.into(), Interest::READABLE)?;
+    context.reactor.register(&mut signals, EventSource::Signals, Interest::READABLE)?;
     Ok(signals)
 }
 
--- a/src/net/reactor/mod.rs
+++ b/src/net/reactor/mod.rs
@@ -9,7 +9,8 @@
 use std::io::{self, ErrorKind};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use mio::{Events, Poll, Registry};
+use mio::event::Source;
+use mio::{Events, Interest, Poll, Registry};
 
 use super::Context;
 pub(crate) use connection_table::{ConnectionId, ConnectionTable};
@@ -25,12 +26,14 @@
 /// The clock is read once at the start and is monotonic from then on, so that setting the system clock
 /// neither delays nor fires a timer.
 pub(crate) struct Reactor {
-    /// Registers sources for poll events.
-    pub registry: Registry,
+    registry: Registry,
     timers: TimerQueue,
     /// Unix seconds at `started`.
     started_at: f64,
     started: Instant,
+    /// How many registrations are still to fail, as the system lets them when it has no memory.
+    #[cfg(test)]
+    pub failing_registrations: usize,
 }
 
 impl Reactor {
@@ -42,9 +45,26 @@
             timers: TimerQueue::default(),
             started_at: since_epoch.as_secs_f64(),
             started: Instant::now(),
+            #[cfg(test)]
+            failing_registrations: 0,
         })
     }
 
+    /// Has the events of a source reported.
+    pub fn register(
+        &mut self,
+        source: &mut impl Source,
+        name: EventSource,
+        interest: Interest,
+    ) -> io::Result<()> {
+        #[cfg(test)]
+        if self.failing_registrations > 0 {
+            self.failing_registrations -= 1;
+            return Err(ErrorKind::OutOfMemory.into());
+        }
+        self.registry.register(source, name.into(), interest)
+    }
+
     /// Returns the present time (Unix seconds).
     pub fn now(&self) -> f64 {
         self.started_at + self.started.elapsed().as_secs_f64()
