Keep a client whose registration fails, and register it again

Cause: Frontend::add_connection dropped a connection when epoll_ctl failed (ENOMEM, ENOSPC): the client was reset with what it had sent. On the side of hosts the same error counted as the host's fault.

Change: a connection that is not registered is polled by a timer every 20 ms, which tries again. An attempt whose connection to a host cannot be registered ends as not sent.

--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -135,7 +135,8 @@
         let interests = Interest::READABLE | Interest::WRITABLE;
         let source = EventSource::Server(id);
         if context.reactor.register(&mut connection.stream, source, interests).is_err() {
-            self.handle_progress(id, Progress::Failed(Outcome::ConnectFailed), context);
+            // The host is not to blame for a shortage of this machine.
+            self.handle_progress(id, Progress::Failed(Outcome::NotSent), context);
         }
     }
 
--- a/src/net/frontend/acceptor.rs
+++ b/src/net/frontend/acceptor.rs
@@ -167,11 +167,6 @@
         let cancel_key = CancelKey(self.rng.u32(..), self.rng.u32(..));
         let connection = Connection::new(stream, cancel_key, &self.budget, context.reactor.now());
         let id = self.connections.insert(connection);
-        let Some(connection) = self.connections.get_mut(id) else { return };
-        if connection.register(id, context).is_err() {
-            self.connections.remove(id);
-            return;
-        }
         context.counters.clients_accepted += 1;
         self.ready(id, context);
     }
--- a/src/net/frontend/connection.rs
+++ b/src/net/frontend/connection.rs
@@ -15,6 +15,9 @@
 use crate::net::reactor::{ConnectionId, EventSource, TimerEvent};
 use crate::net::{Context, Event};
 
+/// Delay before the socket is registered again after the system had no memory for it (seconds).
+const REGISTER_RETRY_DELAY: f64 = 0.02;
+
 /// The protocol state of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum State {
@@ -75,6 +78,8 @@
     pub(super) state: State,
     /// Whether the client has sent a query that could be executed.
     pub(super) has_queried: bool,
+    /// Whether the reactor announces events of the socket. Until then the connection is polled by a timer.
+    is_registered: bool,
     /// Whether a timer is set to poll again, since no event announces the input that is left.
     pub(super) poll_scheduled: bool,
     /// When the client last sent something or was last sent a response.
@@ -93,16 +98,31 @@
             output: RingBuffer::new(budget),
             state: State::Startup,
             has_queried: false,
+            is_registered: false,
             poll_scheduled: false,
             last_active: now,
             deadline: ClientDeadline::default(),
         }
     }
 
-    /// Registers the socket with the reactor.
-    pub(super) fn register(&mut self, id: ConnectionId, context: &mut Context) -> io::Result<()> {
+    /// Registers the socket with the reactor, unless it is registered. If that fails, it is tried again with
+    /// the next poll: the client must not suffer from a shortage that passes.
+    fn ensure_registered(&mut self, id: ConnectionId, context: &mut Context) {
+        if self.is_registered {
+            return;
+        }
         let interest = Interest::READABLE | Interest::WRITABLE;
-        context.reactor.register(&mut self.stream, EventSource::Client(id), interest)
+        let source = EventSource::Client(id);
+        self.is_registered = context.reactor.register(&mut self.stream, source, interest).is_ok();
+        if !self.is_registered {
+            let retry_at = context.reactor.now() + REGISTER_RETRY_DELAY;
+            context.reactor.set_timer(retry_at, TimerEvent::Client(id));
+        }
+    }
+
+    /// Whether a timer, and no event, announces that the connection is to be polled.
+    pub(super) fn is_polled_by_timer(&self) -> bool {
+        self.poll_scheduled || !self.is_registered
     }
 
     /// Reads, processes and writes as much as possible without blocking.
@@ -112,6 +132,7 @@
         service: ServiceStatus,
         context: &mut Context,
     ) -> Result<(), ConnectionClosed> {
+        self.ensure_registered(id, context);
         let now = context.reactor.now();
         self.poll_scheduled = false;
         while !self.state.is_closing() {
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -92,7 +92,7 @@
     /// Handles a timer of a connection: polls it again, or closes it if its client has missed its deadline.
     pub fn timer_expired(&mut self, id: ConnectionId, context: &mut Context) {
         let now = context.reactor.now();
-        if self.connections.get_mut(id).is_some_and(|connection| connection.poll_scheduled) {
+        if self.connections.get_mut(id).is_some_and(|connection| connection.is_polled_by_timer()) {
             self.ready(id, context);
         }
         let Some(connection) = self.connections.get_mut(id) else { return };
