Give clients as long to read a response as they may wait for it

Cause: ClientDeadline allowed 2 s for whatever is due from a client, reading included, and 1 s once the connection is being closed, whether its last response was written or not. A response that a client reads late was cut although the client's own time was not over, and queries behind it were read and closed with it. Frontend::find_room also closed a connection that was being closed, with its last response unwritten, in favour of a new client.

Change: what is due has a kind. Reading may take the longest deadline of all classes and 0.5 s more (it starts anew with each part that is read); sending 2 s, as before; the linger of 1 s begins when the last response is written, and only then may the connection make room.

Worse: a client that reads nothing holds its place for up to 8.5 s here in place of 2 s.

--- a/src/net/frontend/acceptor.rs
+++ b/src/net/frontend/acceptor.rs
@@ -138,13 +138,14 @@
         }
     }
 
-    /// Looks for room for one connection. An idle connection is closed only once a new one is there, so the
-    /// new one uses a spare descriptor for a moment.
+    /// Looks for room for one connection. One whose last response is not written yet stays. An idle
+    /// connection is closed only once a new one is there, so the new one uses a spare descriptor for a
+    /// moment.
     pub(super) fn find_room(&self) -> Room {
         if self.connections.len() < self.max_connections {
             return Room::Available;
         }
-        let closing = self.least_recently_active(|connection| connection.state.is_closing());
+        let closing = self.least_recently_active(|connection| connection.state.is_write_shut_down());
         let replaced = closing.or_else(|| self.least_recently_active(Connection::is_idle));
         replaced.map_or(Room::Full, Room::Replace)
     }
@@ -152,7 +153,7 @@
     fn is_replaceable(&mut self, id: ConnectionId) -> bool {
         self.connections
             .get_mut(id)
-            .is_some_and(|connection| connection.state.is_closing() || connection.is_idle())
+            .is_some_and(|connection| connection.state.is_write_shut_down() || connection.is_idle())
     }
 
     fn warn_all_busy(&mut self, now: f64) {
@@ -165,7 +166,8 @@
     fn add_connection(&mut self, stream: TcpStream, context: &mut Context) {
         let _ = stream.set_nodelay(true);
         let cancel_key = CancelKey(self.rng.u32(..), self.rng.u32(..));
-        let connection = Connection::new(stream, cancel_key, &self.budget, context.reactor.now());
+        let now = context.reactor.now();
+        let connection = Connection::new(stream, cancel_key, &self.budget, self.response_timeout, now);
         let id = self.connections.insert(connection);
         context.counters.clients_accepted += 1;
         self.ready(id, context);
--- a/src/net/frontend/connection.rs
+++ b/src/net/frontend/connection.rs
@@ -44,6 +44,11 @@
         matches!(self, State::Startup | State::Idle | State::SkippingToSync)
     }
 
+    /// Returns whether the connection is being closed and all of its output is written.
+    pub(super) fn is_write_shut_down(self) -> bool {
+        self == State::Closing { write_shut_down: true }
+    }
+
     /// Returns whether the connection is being closed.
     pub(super) fn is_closing(self) -> bool {
         matches!(self, State::Closing { .. })
@@ -85,11 +90,19 @@
     /// When the client last sent something or was last sent a response.
     pub(super) last_active: f64,
     pub(super) deadline: ClientDeadline,
+    /// How long the client may take to read its responses (seconds).
+    pub(super) response_timeout: f64,
 }
 
 impl Connection {
     /// Creates the connection of a newly accepted client.
-    pub(super) fn new(stream: TcpStream, cancel_key: CancelKey, budget: &MemoryBudget, now: f64) -> Self {
+    pub(super) fn new(
+        stream: TcpStream,
+        cancel_key: CancelKey,
+        budget: &MemoryBudget,
+        response_timeout: f64,
+        now: f64,
+    ) -> Self {
         Connection {
             stream,
             cancel_key,
@@ -102,6 +115,7 @@
             poll_scheduled: false,
             last_active: now,
             deadline: ClientDeadline::default(),
+            response_timeout,
         }
     }
 
@@ -208,7 +222,7 @@
         let is_flushed = self.output.write_to(&mut self.stream)?;
         match self.state {
             State::Closing { write_shut_down: false } if is_flushed => self.shut_down_write(),
-            State::Closing { .. } => {}
+            State::Closing { write_shut_down: true } => {}
             // A client that reads slowly does read: its time starts anew.
             _ if !is_flushed && self.output.len() < length_before => self.deadline.clear(),
             _ => {}
--- a/src/net/frontend/deadline.rs
+++ b/src/net/frontend/deadline.rs
@@ -6,36 +6,56 @@
 use crate::net::reactor::{ConnectionId, TimerEvent};
 use crate::net::Context;
 
-/// Time that a client may take to send its first query, to complete a message and to read its responses
-/// (seconds). Keeps clients that do none of these from using up the connection limit.
-const CLIENT_TIMEOUT: f64 = 2.0;
-/// Time that a client may take to read the last message before its connection is closed (seconds).
+/// Time that a client may take to send its first query and to complete a message (seconds). Keeps clients
+/// that do neither from using up the connection limit.
+const SEND_TIMEOUT: f64 = 2.0;
+/// Time that a client may take to read its responses beyond the longest deadline of any request (seconds).
+/// After that no client waits for them.
+const READ_MARGIN: f64 = 0.5;
+/// Time that a connection stays open after its last message was written (seconds).
 const CLOSE_LINGER: f64 = 1.0;
 
+/// The time that clients may take to read their responses, where no request has a longer deadline than this
+/// (seconds).
+pub(super) fn response_timeout(longest_deadline: f64) -> f64 {
+    longest_deadline.max(SEND_TIMEOUT) + READ_MARGIN
+}
+
+/// What a client has to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum DueAction {
+    /// To send its first query or the rest of a message.
+    Send,
+    /// To read its responses.
+    Read,
+    /// To close the connection, of which the pooler has closed its side.
+    Close,
+}
+
 /// The time by which a client must have acted, if anything is due from it.
 #[derive(Default)]
 pub(super) struct ClientDeadline {
-    expires_at: Option<f64>,
+    due: Option<(DueAction, f64)>,
 }
 
 impl ClientDeadline {
     /// Removes the deadline.
     pub(super) fn clear(&mut self) {
-        self.expires_at = None;
+        self.due = None;
     }
 
     /// Returns whether the deadline has passed.
     pub(super) fn has_expired(&self, now: f64) -> bool {
-        self.expires_at.is_some_and(|expires_at| now >= expires_at)
+        self.due.is_some_and(|(_, expires_at)| now >= expires_at)
     }
 
-    fn is_set(&self) -> bool {
-        self.expires_at.is_some()
+    fn is_set_for(&self, action: DueAction) -> bool {
+        self.due.is_some_and(|(due, _)| due == action)
     }
 
     /// Sets the deadline, and a timer for it.
-    fn set(&mut self, expires_at: f64, id: ConnectionId, context: &mut Context) {
-        self.expires_at = Some(expires_at);
+    fn set(&mut self, action: DueAction, expires_at: f64, id: ConnectionId, context: &mut Context) {
+        self.due = Some((action, expires_at));
         context.reactor.set_timer(expires_at, TimerEvent::Client(id));
     }
 }
@@ -43,19 +63,23 @@
 impl Connection {
     /// Sets a deadline if something has become due from the client, and clears it if nothing is due any more.
     pub(super) fn update_deadline(&mut self, id: ConnectionId, context: &mut Context) {
-        if !self.is_client_action_due() {
-            self.deadline.clear();
-        } else if !self.deadline.is_set() {
-            let now = context.reactor.now();
-            self.deadline.set(now + CLIENT_TIMEOUT, id, context);
+        let Some(action) = self.due_action() else { return self.deadline.clear() };
+        if self.deadline.is_set_for(action) {
+            return;
         }
+        let timeout = match action {
+            DueAction::Send => SEND_TIMEOUT,
+            DueAction::Read => self.response_timeout,
+            DueAction::Close => CLOSE_LINGER,
+        };
+        let expires_at = context.reactor.now() + timeout;
+        self.deadline.set(action, expires_at, id, context);
     }
 
-    /// Starts to close the connection. The client has [`CLOSE_LINGER`] to read what it has been sent.
+    /// Starts to close the connection. The client has time to read what it has been sent.
     pub(super) fn start_closing(&mut self, id: ConnectionId, context: &mut Context) {
-        let now = context.reactor.now();
         self.state = State::Closing { write_shut_down: false };
-        self.deadline.set(now + CLOSE_LINGER, id, context);
+        self.update_deadline(id, context);
     }
 
     /// Closes the connection of a client that has not acted in time. An incomplete message is answered with
@@ -81,14 +105,20 @@
         Ok(())
     }
 
-    /// Returns whether the client has to send or to read something.
-    fn is_client_action_due(&self) -> bool {
+    /// Returns what the client has to do next, if anything.
+    fn due_action(&self) -> Option<DueAction> {
+        let has_unread_output = !self.output.is_empty();
         match self.state {
-            State::Startup | State::Closing { .. } => true,
+            State::Busy | State::AwaitingEndpoints => None,
+            State::Closing { write_shut_down: true } => Some(DueAction::Close),
+            State::Closing { write_shut_down: false } => Some(DueAction::Read),
+            State::Startup | State::Idle | State::SkippingToSync if has_unread_output => {
+                Some(DueAction::Read)
+            }
+            State::Startup => Some(DueAction::Send),
             State::Idle | State::SkippingToSync => {
-                !self.has_queried || !self.input.is_empty() || !self.output.is_empty()
+                (!self.has_queried || !self.input.is_empty()).then_some(DueAction::Send)
             }
-            State::Busy | State::AwaitingEndpoints => false,
         }
     }
 }
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -44,6 +44,8 @@
     acceptor: Acceptor,
     connections: ConnectionTable<Connection>,
     max_connections: usize,
+    /// How long a client may take to read its responses (seconds).
+    response_timeout: f64,
     /// Limits the memory of all connections together.
     budget: MemoryBudget,
     service: ServiceStatus,
@@ -53,9 +55,11 @@
 
 impl Frontend {
     /// Registers the listener and starts the idle sweep. Accepts at most `max_connections` at a time.
+    /// `longest_deadline` is that of all classes of requests (seconds).
     pub fn new(
         listener: TcpListener,
         max_connections: usize,
+        longest_deadline: f64,
         budget: MemoryBudget,
         seed: u64,
         context: &mut Context,
@@ -66,6 +70,7 @@
             acceptor,
             connections: ConnectionTable::new(),
             max_connections,
+            response_timeout: deadline::response_timeout(longest_deadline),
             budget,
             service: ServiceStatus::default(),
             rng: fastrand::Rng::with_seed(seed),
--- a/src/net/frontend/tests.rs
+++ b/src/net/frontend/tests.rs
@@ -10,6 +10,8 @@
 use super::*;
 use crate::net::reactor::{EventSource, Reactor};
 
+/// The longest deadline of the classes of requests (seconds).
+const LONGEST_DEADLINE: f64 = 8.0;
 const MEMORY: usize = 1_000_000;
 /// Less than the kernel's buffers would otherwise hold.
 const SOCKET_BUFFER: usize = 4096;
@@ -40,7 +42,7 @@
         socket2::SockRef::from(&listener).set_send_buffer_size(SOCKET_BUFFER).unwrap();
         let address = listener.local_addr().unwrap();
         let budget = MemoryBudget::new(MEMORY);
-        let mut frontend = Frontend::new(listener, 1, budget, 1, &mut context).unwrap();
+        let mut frontend = Frontend::new(listener, 1, LONGEST_DEADLINE, budget, 1, &mut context).unwrap();
         let client = TcpStream::connect(address).unwrap();
         socket2::SockRef::from(&client).set_recv_buffer_size(SOCKET_BUFFER).unwrap();
         context.reactor.failing_registrations = failing_registrations;
--- a/src/net/pooler/startup.rs
+++ b/src/net/pooler/startup.rs
@@ -84,9 +84,13 @@
         // Half the memory is for buffers, statements and values, whichever of them needs it.
         let budget = MemoryBudget::new(config.memory / 2);
         let listener = listen(config, &limits)?;
+        let clients = limits.clients;
+        let longest_deadline = settings.longest_deadline();
+        let key_seed = !config.seed;
+        let frontend = Frontend::new(listener, clients, longest_deadline, budget.clone(), key_seed, context)?;
         let mut pooler = Pooler {
             policy,
-            frontend: Frontend::new(listener, limits.clients, budget.clone(), !config.seed, context)?,
+            frontend,
             backend: Backend::new(limits.hosts, budget.clone(), config.keepalive, settings.connect_timeout),
             discovery: Discovery::new(config.discovery, config.known.index, budget),
             signals,
@@ -94,7 +98,7 @@
             queries: QueryTranslator::new(config),
             zones: config.zones.clone(),
             health_check_timeout: settings.connect_timeout,
-            longest_deadline: settings.longest_deadline(),
+            longest_deadline,
             reload: Reload::new(path),
             shutdown: ShutdownState::Running,
         };
