Test a client that stops in a query for which there is no memory: it is not told

The error "no memory" is queued and waits for the next event of the connection, which a client that has stopped never causes; the connection ends without it.

--- a/tests/loopback/client_limits.rs
+++ b/tests/loopback/client_limits.rs
@@ -1,6 +1,7 @@
 //! Limits on clients: connections, idle time, memory and processor time.
 
 use std::io::Write;
+use std::time::Duration;
 
 use rstest::rstest;
 
@@ -158,3 +159,40 @@
     third.send(&Request::new("3", "reports").with_large_literal().message());
     backends[0].expect_request("3");
 }
+
+/// The error once waited for the next event of the connection, which never comes from a client that has
+/// stopped.
+#[test]
+fn a_client_that_stops_in_a_query_for_which_there_is_no_memory_is_told() {
+    let host = DatabaseHost::new();
+    let one_megabyte = Edit { from: r#""memory_mb":192"#, to: r#""memory_mb":1"# };
+    let (pooler, _discovery) = start_with_one_host(&host, &[one_megabyte]);
+    let mut busy = Vec::new();
+    // Two requests of the greatest length fill most of the memory.
+    for number in 0..2 {
+        let mut client = connect_client(&pooler);
+        client.send(&Request::new(number, "reports").with_large_literal().message());
+        let mut backend = host.accept();
+        backend.receive_query();
+        busy.push((client, backend));
+    }
+    // Unfinished queries take what is left but a few kilobytes.
+    let query = Request::new("2", "reports").with_large_literal().message();
+    let mut unfinished = Vec::new();
+    for length in [query.len() - 1, 30_000] {
+        let mut client = connect_client(&pooler);
+        client.send(&query[..length]);
+        pooler.wait_until_caught_up();
+        unfinished.push(client);
+    }
+    let mut stopped = connect_client(&pooler);
+    // The pooler finds all at once, so that no event follows.
+    pooler.signal(Signal::Stop);
+    stopped.send(&query[..50_000]);
+    pooler.signal(Signal::Continue);
+    stopped.stream.set_read_timeout(Some(BAD_CLIENT_LIMIT)).unwrap();
+    stopped.expect_error("53200");
+}
+
+/// Within this time a client that sends what cannot be used is owed an error or the end of its connection.
+const BAD_CLIENT_LIMIT: Duration = Duration::from_secs(3);
