Write the error for a message that does not fit into memory at once

Cause: Connection::poll returned after handle_full_input had queued the error, and wrote it only with the next event.

Change: the poll goes on to write what it has queued and to end the sending direction.

Test: a_client_that_stops_in_a_query_for_which_there_is_no_memory_is_told.

--- a/src/net/frontend/connection.rs
+++ b/src/net/frontend/connection.rs
@@ -161,8 +161,8 @@
             if status == ReadStatus::WouldBlock {
                 return Ok(());
             }
-            if self.input.len() == length_before {
-                return self.handle_full_input(id, context);
+            if self.input.len() == length_before && !self.handle_full_input(id, context)? {
+                return Ok(());
             }
         }
         self.flush()?;
@@ -186,11 +186,17 @@
 
     /// Handles a full input buffer of which nothing could be processed. If the client is to send the rest of
     /// a message, that rest will never fit: the connection is closed, so that it does not keep its memory.
-    fn handle_full_input(&mut self, id: ConnectionId, context: &mut Context) -> Result<(), ConnectionClosed> {
-        if self.state.is_reading() && self.output.is_empty() {
-            return self.send_fatal_error(id, sqlstate::OUT_OF_MEMORY, "no memory", context);
+    /// Returns whether it is.
+    fn handle_full_input(
+        &mut self,
+        id: ConnectionId,
+        context: &mut Context,
+    ) -> Result<bool, ConnectionClosed> {
+        let is_closing = self.state.is_reading() && self.output.is_empty();
+        if is_closing {
+            self.send_fatal_error(id, sqlstate::OUT_OF_MEMORY, "no memory", context)?;
         }
-        Ok(())
+        Ok(is_closing)
     }
 
     /// Discards what has arrived, at most one buffer for each poll: a client that sends without pause must
