Try the start of the program again while the system lacks something for a moment

Cause: serve gave up at the first error of any call: reading the file, epoll_create1, socket, bind, epoll_ctl.

Change: src/transient_error.rs names the errors that pass by themselves (ENFILE, EMFILE, ENOBUFS, EADDRNOTAVAIL, ENOMEM, EAGAIN, EINTR); reading the configuration and starting are tried again every 0.1 s for 5 s while one of them comes. An address in use or a file that is missing still ends the program at once.

Tests: src/transient_error/tests.rs; tests/cli.rs keeps the immediate failures.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -7,6 +7,7 @@
 
 use crate::config::{Config, ConfigError};
 use crate::net::ServeError;
+use crate::transient_error::retry;
 
 /// The exit code of a command that failed.
 const EXIT_FAILURE: u8 = 2;
@@ -88,7 +89,7 @@
 
 fn serve(path: Option<PathBuf>) -> Result<(), CommandError> {
     let path = config_path(path)?;
-    let config = Config::load(&path)?;
+    let config = retry(|| Config::load(&path), ConfigError::is_transient)?;
     let _log = crate::logging::init();
     crate::net::serve(&config, &path)?;
     Ok(())
--- a/src/config/error.rs
+++ b/src/config/error.rs
@@ -7,6 +7,7 @@
 use crate::json::lenient::NotANumber;
 use crate::json::JsonError;
 use crate::settings::SettingsError;
+use crate::transient_error::is_transient;
 
 /// Why a configuration file cannot be used. The message names the file and the cause.
 #[derive(Debug, thiserror::Error)]
@@ -29,6 +30,13 @@
     },
 }
 
+impl ConfigError {
+    /// Whether the file may be readable soon.
+    pub(crate) fn is_transient(&self) -> bool {
+        matches!(self, ConfigError::Read { source, .. } if is_transient(source))
+    }
+}
+
 /// Why the text of a configuration file cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum ParseConfigError {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 mod policy;
 pub mod settings;
 mod state;
+mod transient_error;
 
 pub use policy::Policy;
 pub use settings::SettingsError;
--- a/src/net/pooler/startup.rs
+++ b/src/net/pooler/startup.rs
@@ -23,6 +23,7 @@
 use crate::net::reactor::{self, EventSource, Reactor};
 use crate::net::{Context, Event};
 use crate::settings::SettingsError;
+use crate::transient_error::{is_transient, retry};
 use crate::Policy;
 
 /// File descriptors that connections may not use: they are for the listener, the poll, the signals, standard
@@ -43,6 +44,13 @@
     Io(#[from] io::Error),
 }
 
+impl ServeError {
+    /// Whether the start may succeed soon.
+    fn is_transient(&self) -> bool {
+        matches!(self, ServeError::Io(error) if is_transient(error))
+    }
+}
+
 /// How many connections each side may hold.
 struct ConnectionLimits {
     clients: usize,
@@ -65,15 +73,28 @@
 /// Serves clients until a graceful shutdown is complete. `path` is the file that `config` was read from; a
 /// reload reads it again.
 pub(crate) fn serve(config: &Config, path: &Path) -> Result<(), ServeError> {
-    let mut poll = Poll::new()?;
-    let reactor = Reactor::new(&poll)?;
-    let mut context = Context { reactor, events: VecDeque::new(), counters: Counters::default() };
-    let mut pooler = Pooler::new(config, path, &mut context)?;
+    let Started { mut poll, mut context, mut pooler } =
+        retry(|| start(config, path), ServeError::is_transient)?;
     reactor::run(&mut poll, &mut pooler, &mut context)?;
     tracing::info!(name = %config.name, "shut down: {}", context.counters);
     Ok(())
 }
 
+/// A pooler that is ready to run.
+struct Started {
+    poll: Poll,
+    context: Context,
+    pooler: Pooler,
+}
+
+fn start(config: &Config, path: &Path) -> Result<Started, ServeError> {
+    let poll = Poll::new()?;
+    let reactor = Reactor::new(&poll)?;
+    let mut context = Context { reactor, events: VecDeque::new(), counters: Counters::default() };
+    let pooler = Pooler::new(config, path, &mut context)?;
+    Ok(Started { poll, context, pooler })
+}
+
 impl Pooler {
     /// Opens the listener and starts from the cached endpoint list.
     fn new(config: &Config, path: &Path, context: &mut Context) -> Result<Pooler, ServeError> {
