--- a/src/transient_error.rs
+++ b/src/transient_error.rs
@@ -8,8 +8,8 @@
 const MAX_RETRIES: u32 = 50;
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-// The numbers of errors that the standard library has no kind for, as Linux has them on all architectures that
-// this program is built for.
+// The numbers of errors that the standard library has no kind for, as Linux has them on all architectures
+// that this program is built for.
 const ENFILE: i32 = 23;
 const EMFILE: i32 = 24;
 const EADDRNOTAVAIL: i32 = 99;
@@ -24,8 +24,8 @@
     by_kind || matches!(error.raw_os_error(), Some(ENFILE | EMFILE | EADDRNOTAVAIL | ENOBUFS))
 }
 
-/// Makes a call, and again while its error passes by itself. The thread waits in between: for the start of the
-/// program only.
+/// Makes a call, and again while its error passes by itself. The thread waits in between: for the start of
+/// the program only.
 pub(crate) fn retry<T, E>(
     mut call: impl FnMut() -> Result<T, E>,
     passes_by_itself: impl Fn(&E) -> bool,
--- a/tests/loopback/harness/configuration.rs
+++ b/tests/loopback/harness/configuration.rs
@@ -17,6 +17,7 @@
 "specifics":{"consistency":["bounded","session","any","write"],"stalenessBound":[3,0,0,0],"whenBehind":"silent","writeMarks":"remembered"}}"#;
 
 /// A replacement in the text of the configuration.
+#[derive(Clone, Copy)]
 pub struct Edit<'a> {
     /// The text to replace, which has to occur.
     pub from: &'a str,
--- a/tests/loopback/harness/database_host.rs
+++ b/tests/loopback/harness/database_host.rs
@@ -33,6 +33,12 @@
         }
     }
 
+    /// The next connection, before its startup; none if the pooler opens none for a long time.
+    pub fn next_connection(&self) -> Option<Connection> {
+        let (stream, _) = self.listener.accept().ok()?;
+        Some(Connection::new(stream))
+    }
+
     /// The next connection, before its startup.
     pub fn accept_without_startup(&self) -> Connection {
         Connection::new(self.listener.accept().expect("the pooler connects").0)
@@ -56,11 +62,16 @@
     }
 }
 
+/// The answer to a startup message.
+pub fn session_start() -> Vec<u8> {
+    let authentication_ok = encode_message(message_type::AUTHENTICATION, &AUTHENTICATION_OK);
+    [authentication_ok, ready_for_query()].concat()
+}
+
 impl Connection {
     /// Answers the startup message, after which the pooler may send a query.
     pub fn complete_startup(&mut self) {
-        let authentication_ok = encode_message(message_type::AUTHENTICATION, &AUTHENTICATION_OK);
-        self.send(&[authentication_ok, ready_for_query()].concat());
+        self.send(&session_start());
     }
 
     /// The statement of the next message, which has to be a query.
--- a/tests/loopback/harness/discovery.rs
+++ b/tests/loopback/harness/discovery.rs
@@ -105,17 +105,22 @@
 
     /// Accepts the next call and reads the head of its request.
     pub fn accept(&self) -> Watch {
-        let mut stream = self.listener.accept().expect("the pooler calls").0;
+        self.next_call().expect("the pooler calls")
+    }
+
+    /// The next call, of which the head is read; none if there is none for a long time, or it breaks.
+    pub fn next_call(&self) -> Option<Watch> {
+        let (mut stream, _) = self.listener.accept().ok()?;
         stream.set_read_timeout(Some(EVENT_TIMEOUT)).unwrap();
         stream.set_nodelay(true).unwrap();
         let mut head = Vec::new();
         let mut byte = [0];
         while !head.ends_with(b"\r\n\r\n") {
-            stream.read_exact(&mut byte).unwrap();
+            stream.read_exact(&mut byte).ok()?;
             head.push(byte[0]);
         }
         let head = String::from_utf8(head).unwrap();
-        Watch { stream, request_line: head.lines().next().unwrap().to_string() }
+        Some(Watch { stream, request_line: head.lines().next().unwrap().to_string() })
     }
 }
 
--- a/tests/loopback/harness/pooler.rs
+++ b/tests/loopback/harness/pooler.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{channel, Receiver};
 
 use super::configuration::{configuration, Edit};
@@ -11,6 +12,9 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_pg-pooler");
 
+/// How many poolers the tests have started. Gives each configuration file a name of its own.
+static STARTED: AtomicU64 = AtomicU64::new(0);
+
 /// Clock ticks per second in the files of `/proc`.
 #[cfg(target_os = "linux")]
 const TICKS_PER_SECOND: f64 = 100.0;
@@ -71,8 +75,8 @@
         discovery: &DiscoveryService,
         edits: &[Edit],
     ) -> Pooler {
-        // The port of the discovery service makes the name unique among tests that run at the same time.
-        let file = format!("pg-pooler-{}-{}.json", std::process::id(), discovery.address().port());
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let file = format!("pg-pooler-{}-{number}.json", std::process::id());
         let path = std::env::temp_dir().join(file);
         std::fs::write(&path, configuration(known, discovery.address(), edits)).unwrap();
         command.args(["serve", "--config"]).arg(&path).stderr(Stdio::piped());
@@ -113,11 +117,22 @@
         }
     }
 
+    /// Edits the configuration file, if it contains what is to be replaced, and makes the pooler reload it.
+    pub fn reload_if_contained(&self, from: &str, to: &str) {
+        let text = std::fs::read_to_string(&self.configuration).unwrap();
+        std::fs::write(&self.configuration, text.replace(from, to)).unwrap();
+        self.signal(Signal::Hangup);
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
+        assert!(self.signal_if_alive(signal));
+    }
+
+    /// Sends a signal to the process, which may have ended. Returns whether it was there.
+    pub fn signal_if_alive(&self, signal: Signal) -> bool {
         let process = self.child.id().to_string();
-        let status = Command::new("kill").args(["-s", signal.name(), &process]).status().unwrap();
-        assert!(status.success());
+        Command::new("kill").args(["-s", signal.name(), &process]).status().unwrap().success()
     }
 
     /// The line of the log with the counters. It comes after the pooler has handled all earlier events.
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -18,3 +18,4 @@
 mod malformed_responses;
 mod routing;
 mod shutdown_and_reload;
+mod soak;
--- /dev/null
+++ b/tests/loopback/soak/attempts.rs
@@ -0,0 +1,102 @@
+//! What the database hosts of a run have received, and the rules on it.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use super::Violations;
+
+/// How long two attempts may seem to overlap because threads of the test take turns.
+const TURN: Duration = Duration::from_millis(500);
+/// How much later than its client has left an attempt may begin. The rule says 0.1 s; the rest is for threads
+/// of the test that wait for their turn.
+const LATE_START: Duration = Duration::from_millis(400);
+
+/// One query that a host has received.
+struct Attempt {
+    host: String,
+    started_at: Instant,
+    /// When it was answered or its connection ended.
+    ended_at: Option<Instant>,
+    /// Whether it had no effect for certain.
+    is_rejected: bool,
+}
+
+/// A client's view of its request.
+struct ClientSide {
+    class: &'static str,
+    /// When the client closed its connection without waiting for the response.
+    left_at: Option<Instant>,
+}
+
+#[derive(Default)]
+struct Records {
+    attempts: HashMap<String, Vec<Attempt>>,
+    clients: HashMap<String, ClientSide>,
+}
+
+/// All attempts of a run by request. Clones share the same records.
+#[derive(Clone, Default)]
+pub struct Attempts(Arc<Mutex<Records>>);
+
+impl Attempts {
+    /// Records that a host has received a request. Returns the number of the attempt.
+    pub fn started(&self, id: &str, host: &str) -> usize {
+        let attempt =
+            Attempt { host: host.into(), started_at: Instant::now(), ended_at: None, is_rejected: false };
+        let mut records = self.0.lock().unwrap();
+        let attempts = records.attempts.entry(id.into()).or_default();
+        attempts.push(attempt);
+        attempts.len() - 1
+    }
+
+    /// Records that an attempt is over.
+    pub fn ended(&self, id: &str, number: usize, is_rejected: bool) {
+        let mut records = self.0.lock().unwrap();
+        let attempt = &mut records.attempts.get_mut(id).unwrap()[number];
+        attempt.ended_at.get_or_insert_with(Instant::now);
+        attempt.is_rejected |= is_rejected;
+    }
+
+    pub fn request_sent(&self, id: &str, class: &'static str) {
+        self.0.lock().unwrap().clients.insert(id.into(), ClientSide { class, left_at: None });
+    }
+
+    pub fn client_left(&self, id: &str) {
+        let mut records = self.0.lock().unwrap();
+        records.clients.get_mut(id).unwrap().left_at = Some(Instant::now());
+    }
+
+    /// Checks the rules on attempts once no more can come.
+    pub fn check(&self, violations: &Violations, hedging: bool) {
+        let records = self.0.lock().unwrap();
+        for (id, attempts) in &records.attempts {
+            let Some(client) = records.clients.get(id) else {
+                violations.add(format!("{id}: no client has sent it"));
+                continue;
+            };
+            let effective = attempts.iter().filter(|attempt| !attempt.is_rejected).count();
+            if client.class == "once" && effective > 1 {
+                violations.add(format!("{id}: may have run {effective} times"));
+            }
+            let allowed = if hedging { 2 } else { 1 };
+            for attempt in attempts {
+                let overlapping = attempts.iter().filter(|other| overlaps(other, attempt)).count();
+                if overlapping > allowed {
+                    violations.add(format!("{id}: {overlapping} attempts in flight at {}", attempt.host));
+                }
+                let is_late = |left_at: Instant| attempt.started_at > left_at + LATE_START;
+                if client.left_at.is_some_and(is_late) {
+                    violations.add(format!("{id}: begun at {} after its client had left", attempt.host));
+                }
+            }
+        }
+    }
+}
+
+/// Whether an attempt was still in flight well after another began.
+fn overlaps(other: &Attempt, attempt: &Attempt) -> bool {
+    let is_earlier = other.started_at <= attempt.started_at;
+    is_earlier && other.ended_at.is_none_or(|ended_at| ended_at > attempt.started_at + TURN)
+        || std::ptr::eq(other, attempt)
+}
--- /dev/null
+++ b/tests/loopback/soak/host.rs
@@ -0,0 +1,190 @@
+//! A database host that answers, and misbehaves when it is told to.
+
+use std::io::{self, ErrorKind, Read, Write};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use super::attempts::Attempts;
+use super::discovery::ListedHost;
+use super::random_time;
+use crate::harness::*;
+
+/// The class of writes, which only the primary takes.
+const WRITE_CLASSES: [&str; 2] = ["c=once,", "c=order-write,"];
+const NOT_THE_PRIMARY: &str = "25006";
+const TOO_MANY_CONNECTIONS: &str = "53300";
+
+/// The longest time that a host works on a report and on any other query.
+const LONGEST_REPORT: Duration = Duration::from_millis(2500);
+const LONGEST_QUERY: Duration = Duration::from_millis(60);
+/// How often a host that hangs looks whether the pooler has closed the connection.
+const HANG_CHECK: Duration = Duration::from_millis(10);
+
+/// How the host behaves.
+#[derive(Default)]
+struct Behaviour {
+    hangs_until: Option<Instant>,
+    resets_left: u32,
+    rejections_left: u32,
+    startup_delay: Duration,
+}
+
+/// A running host.
+pub struct SoakHost {
+    listed: ListedHost,
+    behaviour: Arc<Mutex<Behaviour>>,
+}
+
+/// What happens to a query.
+enum Fate {
+    Answer,
+    Reject(&'static str),
+    Reset,
+}
+
+impl SoakHost {
+    /// Starts a host whose times follow from the seed.
+    pub fn start(
+        name: &'static str,
+        zone: &'static str,
+        role: Role,
+        seed: u64,
+        attempts: &Attempts,
+    ) -> SoakHost {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let host = DatabaseHost::new();
+        let listed = ListedHost::new(name, zone, role, host.entry(name, zone).address);
+        let behaviour: Arc<Mutex<Behaviour>> = Arc::default();
+        let (server, shared, attempts) = (listed.clone(), behaviour.clone(), attempts.clone());
+        std::thread::spawn(move || {
+            while let Some(connection) = host.next_connection() {
+                let (server, shared, attempts) = (server.clone(), shared.clone(), attempts.clone());
+                let random = fastrand::Rng::with_seed(random.u64(..));
+                std::thread::spawn(move || serve(connection, &server, &shared, &attempts, random));
+            }
+        });
+        SoakHost { listed, behaviour }
+    }
+
+    pub fn listed(&self) -> ListedHost {
+        self.listed.clone()
+    }
+
+    pub fn hang(&self, time: Duration) {
+        self.behaviour.lock().unwrap().hangs_until = Some(Instant::now() + time);
+    }
+
+    pub fn reset_queries(&self, count: u32) {
+        self.behaviour.lock().unwrap().resets_left = count;
+    }
+
+    pub fn reject_queries(&self, count: u32) {
+        self.behaviour.lock().unwrap().rejections_left = count;
+    }
+
+    pub fn delay_startups(&self, time: Duration) {
+        self.behaviour.lock().unwrap().startup_delay = time;
+    }
+
+    /// Ends all misbehaviour.
+    pub fn recover(&self) {
+        *self.behaviour.lock().unwrap() = Behaviour::default();
+    }
+}
+
+fn serve(
+    mut connection: Connection,
+    host: &ListedHost,
+    behaviour: &Mutex<Behaviour>,
+    attempts: &Attempts,
+    mut random: fastrand::Rng,
+) {
+    let startup_delay = behaviour.lock().unwrap().startup_delay;
+    std::thread::sleep(startup_delay);
+    if answer_startup(&mut connection).is_err() {
+        return;
+    }
+    while let Some(message) = connection.receive() {
+        let sql = String::from_utf8_lossy(&message.body).into_owned();
+        let id = field(&sql, "id=");
+        let number = attempts.started(&id, host.name);
+        host.check_drain(&id);
+        let served_at = Instant::now() + service_time(&sql, &mut random);
+        if !stays_open_until(served_at, &connection, behaviour) {
+            return attempts.ended(&id, number, false);
+        }
+        let fate = fate(&sql, host.role, behaviour);
+        let is_rejected = matches!(fate, Fate::Reject(_));
+        // Recorded before the answer, which the pooler may act on at once.
+        attempts.ended(&id, number, is_rejected);
+        match fate {
+            Fate::Answer => {
+                let position = unix_time().as_millis() as i64;
+                let answer = result_response_with_position(id.as_bytes(), host.role, position);
+                if connection.stream.write_all(&answer).is_err() {
+                    return;
+                }
+            }
+            Fate::Reject(sqlstate) => {
+                if connection.stream.write_all(&error_response(sqlstate)).is_err() {
+                    return;
+                }
+            }
+            Fate::Reset => return connection.reset(),
+        }
+    }
+}
+
+fn answer_startup(connection: &mut Connection) -> io::Result<()> {
+    let mut length = [0; 4];
+    connection.stream.read_exact(&mut length)?;
+    connection.stream.read_exact(&mut vec![0; u32::from_be_bytes(length) as usize - 4])?;
+    connection.stream.write_all(&session_start())
+}
+
+/// How long the host works on a query.
+fn service_time(sql: &str, random: &mut fastrand::Rng) -> Duration {
+    let longest = if sql.contains("c=reports,") { LONGEST_REPORT } else { LONGEST_QUERY };
+    random_time(random, longest)
+}
+
+/// Waits until that time, and until the host hangs no more. Returns whether the pooler has kept the
+/// connection open until then.
+fn stays_open_until(served_at: Instant, connection: &Connection, behaviour: &Mutex<Behaviour>) -> bool {
+    let hangs_until = || behaviour.lock().unwrap().hangs_until.unwrap_or(served_at);
+    while Instant::now() < served_at.max(hangs_until()) {
+        connection.stream.set_read_timeout(Some(HANG_CHECK)).unwrap();
+        let is_open = match connection.stream.peek(&mut [0]) {
+            Ok(count) => count > 0,
+            Err(error) => matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        };
+        if !is_open {
+            return false;
+        }
+    }
+    connection.stream.set_read_timeout(None).unwrap();
+    true
+}
+
+fn fate(sql: &str, role: Role, behaviour: &Mutex<Behaviour>) -> Fate {
+    let is_write = WRITE_CLASSES.iter().any(|class| sql.contains(class));
+    if is_write && matches!(role, Role::Reader) {
+        return Fate::Reject(NOT_THE_PRIMARY);
+    }
+    let mut behaviour = behaviour.lock().unwrap();
+    if behaviour.rejections_left > 0 {
+        behaviour.rejections_left -= 1;
+        return Fate::Reject(TOO_MANY_CONNECTIONS);
+    }
+    if behaviour.resets_left > 0 {
+        behaviour.resets_left -= 1;
+        return Fate::Reset;
+    }
+    Fate::Answer
+}
+
+/// The value after a name in the comment of a statement.
+fn field(sql: &str, name: &str) -> String {
+    let value = sql.split_once(name).map_or("", |(_, rest)| rest);
+    value.split(',').next().unwrap().to_string()
+}
