Withdraw unsent attempts only where a host stops taking requests with this update

Pool::unsent_to_leaving_hosts looked at all hosts that take no requests, at each update of the list. Where removal is only advisory, an attempt that the policy chose to make at a removed host would have been withdrawn by any later update. The hosts are now those that took requests before the update.

--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -65,8 +65,8 @@
         endpoints: &[ListedEndpoint],
         context: &mut Context,
     ) {
-        self.pool.update_endpoints(kind, endpoints, context.reactor.now());
-        for id in self.pool.unsent_to_leaving_hosts() {
+        let leaving = self.pool.update_endpoints(kind, endpoints, context.reactor.now());
+        for id in self.pool.unsent_to(&leaving) {
             self.handle_progress(id, Progress::Failed(Outcome::NotSent), context);
         }
     }
--- a/src/net/backend/pool.rs
+++ b/src/net/backend/pool.rs
@@ -1,6 +1,6 @@
 //! The known database hosts, all connections to them, and which of these are idle.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use super::connection::Connection;
@@ -55,8 +55,15 @@
     }
 
     /// Applies an update of the endpoint list. Idle connections to a host that has moved, restarted, begun to
-    /// drain or left are closed: a host that was cut off leaves them open and silent.
-    pub fn update_endpoints(&mut self, kind: UpdateKind, endpoints: &[ListedEndpoint], now: f64) {
+    /// drain or left are closed: a host that was cut off leaves them open and silent. Returns the hosts that
+    /// take no requests from now on.
+    pub fn update_endpoints(
+        &mut self,
+        kind: UpdateKind,
+        endpoints: &[ListedEndpoint],
+        now: f64,
+    ) -> HashSet<EndpointId> {
+        let mut leaving = self.serving_hosts();
         if kind != UpdateKind::Delta {
             for host in self.hosts.values_mut() {
                 host.removed = true;
@@ -72,6 +79,15 @@
             }
         }
         self.hosts.retain(|_, host| !host.removed || now - host.last_listed_at < REMOVED_HOST_RETENTION);
+        for serving in self.serving_hosts() {
+            leaving.remove(&serving);
+        }
+        leaving
+    }
+
+    fn serving_hosts(&self) -> HashSet<EndpointId> {
+        let serving = self.hosts.iter().filter(|(_, host)| host.takes_requests);
+        serving.map(|(name, _)| name.clone()).collect()
     }
 
     /// Applies one entry of an update.
@@ -90,13 +106,12 @@
         }
     }
 
-    /// The connections to hosts that drain or were removed whose query is not sent yet.
-    pub fn unsent_to_leaving_hosts(&self) -> Vec<ConnectionId> {
-        let is_leaving = |endpoint| self.hosts.get(endpoint).is_none_or(|host| !host.takes_requests);
+    /// The connections to these hosts whose query is not sent yet.
+    pub fn unsent_to(&self, hosts: &HashSet<EndpointId>) -> Vec<ConnectionId> {
         let unsent = self
             .connections
             .iter()
-            .filter(|(_, connection)| connection.has_unsent_query() && is_leaving(&connection.endpoint));
+            .filter(|(_, connection)| connection.has_unsent_query() && hosts.contains(&connection.endpoint));
         unsent.map(|(id, _)| id).collect()
     }
 
