--- a/tests/loopback/shutdown_and_reload.rs
+++ b/tests/loopback/shutdown_and_reload.rs
@@ -3,6 +3,8 @@
 use std::io::Read;
 use std::time::{Duration, Instant};
 
+use rstest::rstest;
+
 use crate::harness::*;
 
 #[test]
@@ -190,3 +192,31 @@
     alone.expect_end();
     assert_eq!(pooler.wait_for_exit().code(), Some(0));
 }
+
+/// Settings under which rejections do not say when to retry.
+const NO_RETRY_AFTER: Edit = Edit { from: r#""retryAfter":true"#, to: r#""retryAfter":false"# };
+/// Settings under which clients wait for no longer than 20 ms.
+const SHORT_RETRY_AFTER: Edit = Edit { from: r#""maxRetryAfter":0.5"#, to: r#""maxRetryAfter":0.02"# };
+
+#[rstest]
+#[case::none(NO_RETRY_AFTER, None)]
+#[case::short(SHORT_RETRY_AFTER, Some("20"))]
+fn a_rejection_during_the_shutdown_says_when_to_retry_as_the_settings_allow(
+    #[case] settings: Edit<'static>,
+    #[case] detail: Option<&str>,
+) {
+    let host = DatabaseHost::new();
+    let (pooler, _discovery) = start_with_one_host(&host, &[settings]);
+    let mut busy = connect_client(&pooler);
+    let mut idle = connect_client(&pooler);
+    busy.send(&Request::new("1", "reports").message());
+    let mut backend = host.accept();
+    backend.receive_query();
+    pooler.signal(Signal::Terminate);
+    idle.expect_end_without_reset();
+    busy.send(&Request::new("2", "reports").message());
+    backend.send_result(BINARY_VALUE, Role::Reader);
+    busy.expect_result();
+    let expected = ErrorResponse { sqlstate: "57P03".to_string(), detail: detail.map(String::from) };
+    assert_eq!(busy.receive_error(), expected);
+}
