Say when to retry during the shutdown only as the settings allow

Cause: the text of 57P03 had a fixed detail of 50 ms, also where limits.retryAfter is false or limits.maxRetryAfter is shorter. Change: the pooler takes it from the settings, as the policy does for its own rejections, and both are written by one function.

--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -37,6 +37,8 @@
     ready: bool,
     /// When the shutdown started. Queries received later are rejected.
     shutdown_started_at: Option<f64>,
+    /// When to retry a query that is rejected during the shutdown (seconds); 0 for no advice.
+    shutdown_retry_after: f64,
 }
 
 /// All client connections, and the acceptor of new ones.
@@ -157,7 +159,9 @@
     }
 
     /// Stops accepting once no connection waits, and closes each one as soon as all its queries are answered.
-    pub fn start_shutdown(&mut self, context: &mut Context) {
+    /// Later queries are rejected with this Retry-After (seconds); 0 for no advice.
+    pub fn start_shutdown(&mut self, retry_after: f64, context: &mut Context) {
+        self.service.shutdown_retry_after = retry_after;
         // Connections and queries that have arrived by now are still served.
         self.acceptor.start_closing();
         self.accept(context);
--- a/src/net/frontend/response.rs
+++ b/src/net/frontend/response.rs
@@ -11,7 +11,9 @@
         self.state = State::Idle;
         match response {
             Response::Value(value) => self.send_value(value),
-            Response::Rejected { retry_after } => self.send_rejection(retry_after),
+            Response::Rejected { retry_after } => {
+                self.send_rejection(sqlstate::TOO_MANY_CONNECTIONS, "refused: try again later", retry_after)
+            }
             Response::Failed => self.send_error(sqlstate::SYSTEM_ERROR, "failed: it may have run", None),
             Response::Cancelled => {
                 self.send_error(sqlstate::QUERY_CANCELED, "cancelled as its client asked", None)
@@ -65,9 +67,14 @@
     }
 
     /// Writes a rejection. The detail says after how many milliseconds to retry, if that is known.
-    fn send_rejection(&mut self, retry_after: f64) -> Result<(), ConnectionClosed> {
+    pub(super) fn send_rejection(
+        &mut self,
+        code: &str,
+        message: &str,
+        retry_after: f64,
+    ) -> Result<(), ConnectionClosed> {
         let milliseconds = (retry_after * 1000.0).ceil();
         let detail = (milliseconds > 0.0).then(|| (milliseconds as u64).to_string());
-        self.send_error(sqlstate::TOO_MANY_CONNECTIONS, "refused: try again later", detail.as_deref())
+        self.send_error(code, message, detail.as_deref())
     }
 }
--- a/src/net/frontend/session.rs
+++ b/src/net/frontend/session.rs
@@ -10,9 +10,6 @@
 /// Most messages of one connection that are processed before the other connections have their turn. Keeps a
 /// client that sends without pause from blocking the event loop.
 const MAX_MESSAGES_PER_TURN: usize = 32;
-/// Retry-after detail of the error for queries received during the shutdown (milliseconds). By then another
-/// pooler accepts the client's connections.
-const SHUTDOWN_RETRY_AFTER_MS: &str = "50";
 
 /// Why the processing of messages has stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -173,8 +170,8 @@
         if service.shutdown_started_at.is_some_and(|started_at| query.received_at > started_at) {
             // The process may end before the query does: another pooler has all the time for it.
             context.counters.rejected += 1;
-            let retry_after = Some(SHUTDOWN_RETRY_AFTER_MS);
-            return self.send_error(sqlstate::CANNOT_CONNECT_NOW, "shutting down", retry_after);
+            let retry_after = service.shutdown_retry_after;
+            return self.send_rejection(sqlstate::CANNOT_CONNECT_NOW, "shutting down", retry_after);
         }
         // Each statement is within its own limit, but many of them together may exceed the memory.
         let Ok(memory) = self.input.reserve_memory(query.statement.text.len()) else {
--- a/src/net/pooler/mod.rs
+++ b/src/net/pooler/mod.rs
@@ -51,6 +51,8 @@
     health_check_timeout: f64,
     /// The longest deadline of any class of requests (seconds).
     longest_deadline: f64,
+    /// The Retry-After of queries that are rejected during the shutdown (seconds); 0 for no advice.
+    shutdown_retry_after: f64,
     reload: Reload,
     shutdown: ShutdownState,
 }
--- a/src/net/pooler/signals.rs
+++ b/src/net/pooler/signals.rs
@@ -9,10 +9,14 @@
 use crate::interface;
 use crate::net::reactor::TimerEvent;
 use crate::net::Context;
+use crate::settings::Settings;
 
 /// How long connections and queries are accepted after the shutdown was requested (seconds). New connections
 /// arrive for up to 0.4 s; a query that arrives after 0.7 s is lost if it outlives the process.
 const SHUTDOWN_GRACE_PERIOD: f64 = 0.6;
+/// Retry-After of queries that are rejected during the shutdown, as far as the settings allow one (seconds).
+/// By then another pooler accepts the client's connections.
+const SHUTDOWN_RETRY_AFTER: f64 = 0.05;
 /// The process is killed at the earliest this long after the shutdown was requested and the longest deadline,
 /// which counts up to [`MAX_COUNTED_DEADLINE`] (seconds).
 const KILL_DELAY: f64 = 0.7;
@@ -39,6 +43,15 @@
     }
 }
 
+/// The Retry-After of queries that are rejected during the shutdown (seconds); 0 for no advice.
+pub(super) fn shutdown_retry_after(settings: &Settings) -> f64 {
+    if settings.send_retry_after {
+        SHUTDOWN_RETRY_AFTER.min(settings.max_retry_after)
+    } else {
+        0.0
+    }
+}
+
 impl Pooler {
     /// Handles the signals that have been received.
     pub(super) fn on_signals(&mut self, context: &mut Context) {
@@ -109,7 +122,7 @@
     /// Stops accepting connections and closes each open one once its queries are answered.
     pub(super) fn on_grace_period_over(&mut self, context: &mut Context) {
         self.shutdown = ShutdownState::Closing;
-        self.frontend.start_shutdown(context);
+        self.frontend.start_shutdown(self.shutdown_retry_after, context);
     }
 
     /// Ends each request behind which others wait on its connection. These came during the shutdown and are
--- a/src/net/pooler/startup.rs
+++ b/src/net/pooler/startup.rs
@@ -11,7 +11,7 @@
 
 use super::queries::QueryTranslator;
 use super::request_table::RequestTable;
-use super::signals::Reload;
+use super::signals::{shutdown_retry_after, Reload};
 use super::{Pooler, ShutdownState};
 use crate::config::Config;
 use crate::counters::Counters;
@@ -120,6 +120,7 @@
             zones: config.zones.clone(),
             health_check_timeout: settings.connect_timeout,
             longest_deadline,
+            shutdown_retry_after: shutdown_retry_after(settings),
             reload: Reload::new(path),
             shutdown: ShutdownState::Running,
         };
