Give each cold host a budget in place of a share that shrinks with the present rate

Reads and writes at a primary spend from the same budget, so that each may use what the other leaves.

--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -127,6 +127,7 @@
             first_sent_at.map_or(f64::INFINITY, |sent_at| class.repeatable_until(sent_at) - MAX_HOLD_UP);
         let timeout = (request.deadline.min(window_end) - self.now).max(self.settings.tick);
         self.actions.push(Action::Send { id: request.id.clone(), endpoint: endpoint.id.clone(), timeout });
+        self.spend_slow_start_budget(to);
         self.endpoints[to].attempt_sent(self.now, SAMPLE_WEIGHT);
         self.requests.add_attempt(key, Attempt::new(to, self.now));
     }
--- a/src/policy/read_routing.rs
+++ b/src/policy/read_routing.rs
@@ -63,14 +63,7 @@
     fn is_fit(&self, read: &Read, endpoint: EndpointKey) -> bool {
         let is_available =
             self.is_healthy(endpoint) || self.endpoints[endpoint].health.is_trial_due(self.now);
-        is_available && self.slow_start_admits_read(read, endpoint)
-    }
-
-    fn slow_start_admits_read(&self, read: &Read, endpoint: EndpointKey) -> bool {
-        let is_primary = read.primary == Some(endpoint);
-        let primary_share = self.primary_read_slow_start_share(read.slow_start_share);
-        let share = if is_primary { primary_share } else { read.slow_start_share };
-        self.slow_start_admits(read.request, endpoint, share)
+        is_available && self.slow_start_admits(read.request, endpoint, read.slow_start_share)
     }
 
     /// Whether an endpoint that checks reads may be fresh without this being known: if its lag is unchanged,
@@ -148,7 +141,7 @@
             let answers = state.last_response_at > lately.max(health.connect_failed_at) && !is_primary;
             let failed_lately = self.now - health.connect_failed_at <= self.settings.connect_timeout;
             let is_due = none_is_healthy && !health.trial_in_flight && !failed_lately;
-            let is_admitted = self.slow_start_admits_read(read, endpoint);
+            let is_admitted = self.slow_start_admits(read.request, endpoint, read.slow_start_share);
             health.is_ejected && (is_fresh || is_primary) && (is_due || answers) && is_admitted
         };
         let until = |endpoint: EndpointKey| self.endpoints[endpoint].health.ejected_until.max(self.now);
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -1,6 +1,6 @@
 //! An endpoint, as far as this pooler knows it.
 
-use super::ClusterClock;
+use super::{ClusterClock, SlowStartBudget};
 use crate::interface::{Endpoint, EndpointId, EndpointStatus, Outcome, UpdateKind};
 
 const NEVER: f64 = f64::NEG_INFINITY;
@@ -37,6 +37,8 @@
     pub latest_served_send_at: f64,
     pub health: OutlierDetector,
     pub load: EndpointLoad,
+    /// What it may still get while it is in slow start.
+    pub slow_start: SlowStartBudget,
     pub health_check_in_flight: bool,
     pub last_health_check_at: f64,
 }
@@ -141,6 +143,7 @@
         if entry.started_at > self.started_at {
             self.started_at = entry.started_at;
             self.start_listed_at = now;
+            self.slow_start = SlowStartBudget::default();
             self.health.failure_score = 0.0;
             self.health.ejected_until = 0.0;
             self.health.is_ejected = false;
--- a/src/state/group.rs
+++ b/src/state/group.rs
@@ -22,9 +22,6 @@
     /// How often requests for this group are received at present, and as a rule.
     pub present_rate: EventRate,
     pub usual_rate: EventRate,
-    /// The usual rate as a share of the present one when the last request was received: 1 outside of bursts;
-    /// none before the first request.
-    pub usual_traffic_share: Option<f64>,
 }
 
 impl Group {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -12,6 +12,7 @@
 mod request_table;
 mod sampling;
 mod session_table;
+mod slow_start_budget;
 #[cfg(test)]
 mod tests;
 mod token_bucket;
@@ -28,5 +29,6 @@
 pub(crate) use request_table::{AttemptInFlight, RequestKey, RequestTable};
 pub(crate) use sampling::two_of;
 pub(crate) use session_table::SessionTable;
+pub(crate) use slow_start_budget::SlowStartBudget;
 pub(crate) use token_bucket::TokenBucket;
 pub(crate) use watch::Watch;
--- a/src/state/tests/estimates.rs
+++ b/src/state/tests/estimates.rs
@@ -1,6 +1,6 @@
-//! Latency and rate estimates, token buckets and random choices.
+//! Latency and rate estimates, token buckets, slow-start budgets and random choices.
 
-use crate::state::{two_of, EventRate, LatencyEstimator, TokenBucket};
+use crate::state::{two_of, EventRate, LatencyEstimator, SlowStartBudget, TokenBucket};
 
 #[test]
 fn a_latency_estimate_follows_its_samples() {
@@ -95,3 +95,16 @@
     assert!((rate.per_second(110.5, TIME_CONSTANT) - 500.0).abs() < 10.0, "after five time constants");
     assert!(rate.per_second(130.5, TIME_CONSTANT) < 0.1, "after twenty seconds without an event");
 }
+
+#[test]
+fn a_slow_start_budget_is_earned_with_time_up_to_its_most() {
+    let mut budget = SlowStartBudget::default();
+    assert!(budget.allows_request(), "a pooler that has just started may send one");
+    budget.earn(0.0, 1.0, 100.0);
+    budget.spend();
+    budget.earn(2.0, 3.0, 100.4);
+    assert!(!budget.allows_request(), "0.8 of a request");
+    budget.earn(2.0, 3.0, 200.0);
+    (0..3).for_each(|_| budget.spend());
+    assert!(!budget.allows_request(), "three at most");
+}
