Let settings without an overload limit admit requests to cold hosts, with tests of sessions on wrong clocks

Found on the re-read of the budget of cold hosts: where the settings name no limit it is infinite, and infinity times an elapsed time of zero is not a number, so that a cold host got nothing. A finite stand-in (1e6) takes its place. Test: without_an_overload_limit_a_warming_endpoint_gets_reads (failed without).

New tests of clauses that hold: a session sees its write, carried or remembered, and strong reads go to the primary, with a clock that is wrong by 5 s or an hour.

--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -11,6 +11,8 @@
 const PRIMARY_SHARE_OF_LIMIT: f64 = 0.5;
 /// Share of the overload limit for all requests together, in a burst: the capacity grows meanwhile.
 const BUDGET_SHARE_OF_LIMIT: f64 = 0.85;
+/// Stands for no limit at all, which settings may leave out.
+const MAX_OVERLOAD_LIMIT: f64 = 1e6;
 /// What an endpoint may get at once, as a share of what it may get while it withstands an overload.
 const BURST_SHARE: f64 = 0.1;
 /// Time over which the usual rate of requests is taken (seconds): far longer than a burst.
@@ -48,7 +50,7 @@
     fn slow_start_budget(&self, endpoint: EndpointKey) -> SlowStartBudget {
         let state = &self.endpoints[endpoint];
         let usual_rate = self.usual_endpoint_rate(state.group);
-        let limit = self.settings.overload_limit * BUDGET_SHARE_OF_LIMIT;
+        let limit = self.settings.overload_limit.min(MAX_OVERLOAD_LIMIT) * BUDGET_SHARE_OF_LIMIT;
         let per_second = limit * self.capacity(endpoint) * usual_rate;
         let most = 1.0 + per_second * self.settings.overload_window * BURST_SHARE;
         let mut budget = state.slow_start;
--- a/tests/loopback/clocks.rs
+++ b/tests/loopback/clocks.rs
@@ -115,3 +115,42 @@
     let share = replica.answered.load(Ordering::Relaxed);
     assert!((1..100).contains(&share), "{share} of 200 at a fifth of the capacity");
 }
+
+/// With this setting, clients carry the commit position that a session's read has to see.
+const CARRIED_POSITIONS: Edit =
+    Edit { from: r#""writeMarks":"remembered""#, to: r#""writeMarks":"carried""# };
+
+/// The replica lags by half a second, so that it never has the commit of the write before.
+#[rstest]
+fn a_session_sees_its_write_however_wrong_the_clock_is(
+    #[values(-HOUR_MS, -5000, 0, 5000, HOUR_MS)] offset_ms: i64,
+    #[values(false, true)] is_carried: bool,
+) {
+    let (primary, replica) = start_cluster(offset_ms, 500);
+    let edits = if is_carried { vec![CARRIED_POSITIONS] } else { Vec::new() };
+    let (pooler, _discovery) = start_pooler(primary.entry, replica.entry, &edits);
+    let mut client = connect_client(&pooler);
+    for number in 0..READS {
+        read(&mut client, format!("a{number}"), "reports");
+        read(&mut client, format!("w{number}"), "order-write");
+        let committed_at = unix_time().as_millis() as i64 + offset_ms;
+        let before = replica.answered.load(Ordering::Relaxed);
+        let request = Request::new(format!("s{number}"), "own-orders");
+        let request = if is_carried { request.after(committed_at) } else { request };
+        client.send(&request.message());
+        client.expect_result();
+        assert_eq!(replica.answered.load(Ordering::Relaxed), before, "read {number} missed its write");
+    }
+}
+
+/// Reads that must see every commit go to the primary.
+#[rstest]
+fn a_strong_read_goes_to_the_primary_however_wrong_the_clock_is(#[values(-HOUR_MS, HOUR_MS)] offset_ms: i64) {
+    let (primary, replica) = start_cluster(offset_ms, 0);
+    let strong =
+        Edit { from: r#"["bounded","session","any","write"]"#, to: r#"["fresh","session","any","write"]"# };
+    let (pooler, _discovery) = start_pooler(primary.entry, replica.entry, &[strong]);
+    let mut client = connect_client(&pooler);
+    (0..READS).for_each(|number| read(&mut client, number, "browse"));
+    assert_eq!(replica.answered.load(Ordering::Relaxed), 0);
+}
--- a/tests/policy/slow_start.rs
+++ b/tests/policy/slow_start.rs
@@ -230,3 +230,11 @@
     assert!(sent_at.len() > 10, "it gets some: {}", sent_at.len());
     assert_within_limit(&sent_at, started_at, &settings);
 }
+
+#[test]
+fn without_an_overload_limit_a_warming_endpoint_gets_reads() {
+    let mut sim = Simulation::new(Settings { overload_limit: f64::INFINITY, ..default_settings() });
+    sim.update_endpoints(UpdateKind::Delta, vec![warming_replica(sim.now)]);
+    let endpoints = sim.request_many("a", 50, EVENTUAL_READ);
+    assert!(endpoints.iter().any(|endpoint| endpoint == LOCAL_REPLICA), "{endpoints:?}");
+}
