--- a/tests/loopback/client_limits.rs
+++ b/tests/loopback/client_limits.rs
@@ -17,13 +17,7 @@
     clients.push(connect_client(&pooler));
     // The first has been idle for longest.
     clients.remove(0).expect_end();
-    let mut backends = Vec::new();
-    for (number, client) in clients.iter_mut().enumerate() {
-        client.send(&Request::new(number, "reports").message());
-        let mut backend = host.accept();
-        backend.receive_query();
-        backends.push(backend);
-    }
+    let mut backends = start_reads(&host, &mut clients);
     let mut late = connect_without_startup(&pooler);
     late.send(&startup());
     pooler.wait_for_log("all client connections are busy: new connections wait");
--- a/tests/loopback/harness/setup.rs
+++ b/tests/loopback/harness/setup.rs
@@ -65,6 +65,19 @@
     backend
 }
 
+/// Sends a read for each client, of which the next connections to `host` have to get one each. Returns these
+/// connections, whose reads are still to be answered.
+pub fn start_reads(host: &DatabaseHost, clients: &mut [Connection]) -> Vec<Connection> {
+    let mut backends = Vec::new();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.send(&Request::new(number, "reports").message());
+        let mut backend = host.accept();
+        backend.receive_query();
+        backends.push(backend);
+    }
+    backends
+}
+
 /// Sends a write, which `host` answers as the primary. Returns the connection that carried it.
 pub fn complete_write(host: &DatabaseHost, client: &mut Connection) -> Connection {
     client.send(&Request::new("0", "order-write").message());
--- a/tests/loopback/shutdown_and_reload.rs
+++ b/tests/loopback/shutdown_and_reload.rs
@@ -133,13 +133,7 @@
     let host = DatabaseHost::new();
     let (mut pooler, _discovery) = start_with_one_host(&host, &[THREE_CLIENTS]);
     let mut clients: Vec<Connection> = (0..3).map(|_| connect_client(&pooler)).collect();
-    let mut backends = Vec::new();
-    for (number, client) in clients.iter_mut().enumerate() {
-        client.send(&Request::new(number, "reports").message());
-        let mut backend = host.accept();
-        backend.receive_query();
-        backends.push(backend);
-    }
+    let mut backends = start_reads(&host, &mut clients);
     let mut waiting = connect_without_startup(&pooler);
     waiting.send(&[startup(), Request::new("3", "reports").message()].concat());
     pooler.wait_for_log("all client connections are busy: new connections wait");
