Log calls for the list, retries, rejections and closes with their reasons

The reason of a request that is given up now travels with its final answer (Action::Reject, Action::Fail), and the network code logs it with the request id; so it does attempts that end without a value, further attempts, calls for the list, its versions with the endpoints that do not serve, and the reason of each closed connection.

No decision changes. The two new tests in tests/loopback/log_lines.rs follow one request and one version of the list.

--- a/src/adapter/wire/encode.rs
+++ b/src/adapter/wire/encode.rs
@@ -26,11 +26,11 @@
             json!([reply::SEND, instance, **id, **endpoint, timeout.as_secs()])
         }
         Action::CancelAttempt { id, attempt } => json!([reply::CANCEL_ATTEMPT, instance, **id, attempt]),
-        Action::Reject { id, retry_after } => {
+        Action::Reject { id, retry_after, .. } => {
             let seconds = retry_after.map_or(0.0, Span::as_secs);
             json!([reply::REJECT, instance, **id, seconds])
         }
-        Action::Fail { id } => json!([reply::FAIL, instance, **id]),
+        Action::Fail { id, .. } => json!([reply::FAIL, instance, **id]),
         Action::SetTimer { at, cookie } => json!([reply::SET_TIMER, instance, at.as_secs(), cookie]),
         Action::HealthCheck { endpoint } => json!([reply::HEALTH_CHECK, instance, **endpoint]),
         Action::CloseIdleConnections { endpoint } => {
--- a/src/interface/action.rs
+++ b/src/interface/action.rs
@@ -1,6 +1,6 @@
 //! Actions: what a policy tells its host program to do.
 
-use super::{EndpointId, RequestId};
+use super::{EndpointId, GiveUpReason, RequestId};
 use crate::time::{LocalInstant, Span};
 use std::fmt;
 
@@ -30,11 +30,15 @@
         id: RequestId,
         /// How long the client should wait before a retry, if the answer is to say so.
         retry_after: Option<Span>,
+        /// Why the request is given up.
+        reason: GiveUpReason,
     },
     /// Answer a request with a failure, which is final. The request may have been executed.
     Fail {
         /// The failed request.
         id: RequestId,
+        /// Why the request is given up.
+        reason: GiveUpReason,
     },
     /// Set a timer.
     SetTimer {
--- a/src/interface/mod.rs
+++ b/src/interface/mod.rs
@@ -7,11 +7,13 @@
 
 mod action;
 mod event;
+mod give_up_reason;
 
 use std::sync::Arc;
 
 pub use action::{Action, StateChange};
 pub use event::{AttemptResult, Event, Request};
+pub use give_up_reason::{AttemptDenied, GiveUpReason};
 
 use crate::time::{ClusterInstant, LogPosition};
 
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -7,8 +7,10 @@
 //! - [`state`]: connection states and the outcome of an exchange when the connection fails.
 //! - [`exchange`]: execution of one task, with its deadline.
 //! - [`reply`]: the reply to one query.
+//! - [`close_reason`]: why a connection is closed.
 //! - [`connect_error`]: errors of opening a connection.
 
+mod close_reason;
 mod connect_error;
 mod connection;
 mod exchange;
@@ -26,6 +28,7 @@
 use super::{Context, Task};
 use crate::endpoint_list::ListedEndpoint;
 use crate::interface::{EndpointId, Outcome, UpdateKind};
+use close_reason::CloseReason;
 use connect_error::ConnectError;
 use connection::{BackendConnection, ExchangeStatus};
 use exchange::Exchange;
@@ -79,7 +82,7 @@
 
     /// Closes the idle connections to an endpoint.
     pub fn close_idle_connections(&mut self, endpoint: &EndpointId) {
-        self.pool.close_idle_connections(endpoint);
+        self.pool.close_idle_connections(endpoint, CloseReason::ConnectionShortage);
     }
 
     /// Starts a task and returns its connection, or `None` if none could be opened. If the task ends at once,
@@ -238,7 +241,10 @@
 
     /// Closes a connection and reports the completion of its exchange, if any.
     fn close(&mut self, id: ConnectionId, outcome: Outcome, context: &mut Context) {
-        let Some(mut connection) = self.pool.remove(id) else { return };
+        let is_idle = self.pool.get_mut(id).is_some_and(|connection| connection.is_idle());
+        let reason =
+            if is_idle { CloseReason::IdleEnded(outcome) } else { CloseReason::ExchangeEnded(outcome) };
+        let Some(mut connection) = self.pool.remove(id, reason) else { return };
         if let Some((exchange, reply)) = connection.take_exchange() {
             exchange.complete(connection.endpoint(), outcome, reply, context);
         }
--- a/src/net/backend/pool.rs
+++ b/src/net/backend/pool.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use super::close_reason::CloseReason;
 use super::connection::BackendConnection;
 use crate::endpoint_list::ListedEndpoint;
 use crate::interface::{EndpointId, EndpointStatus, UpdateKind};
@@ -42,9 +43,13 @@
         }
     }
 
-    fn close_idle_connections(&mut self, connections: &mut ConnectionTable<BackendConnection>) {
+    fn close_idle_connections(
+        &mut self,
+        reason: CloseReason,
+        connections: &mut ConnectionTable<BackendConnection>,
+    ) {
         for id in self.idle.drain(..) {
-            connections.remove(id);
+            close(id, reason, connections);
         }
     }
 }
@@ -100,7 +105,7 @@
 
     fn close_idle_connections_to_removed(&mut self) {
         for endpoint in self.endpoints.values_mut().filter(|endpoint| endpoint.is_removed) {
-            endpoint.close_idle_connections(&mut self.connections);
+            endpoint.close_idle_connections(CloseReason::EndpointRemoved, &mut self.connections);
         }
     }
 
@@ -125,7 +130,7 @@
         endpoint.is_removed = listed.status == EndpointStatus::Removed;
         endpoint.is_serving = listed.status == EndpointStatus::Serving;
         if connections_are_stale {
-            self.close_idle_connections(&listed.name);
+            self.close_idle_connections(&listed.name, CloseReason::EndpointChanged);
         }
     }
 
@@ -139,9 +144,9 @@
     }
 
     /// Closes the idle connections to an endpoint.
-    pub fn close_idle_connections(&mut self, endpoint: &EndpointId) {
+    pub fn close_idle_connections(&mut self, endpoint: &EndpointId, reason: CloseReason) {
         let Some(endpoint) = self.endpoints.get_mut(endpoint) else { return };
-        endpoint.close_idle_connections(&mut self.connections);
+        endpoint.close_idle_connections(reason, &mut self.connections);
     }
 
     /// Returns the address of an endpoint, if it is known.
@@ -158,7 +163,7 @@
             if connection.is_usable() {
                 return Some(id);
             }
-            self.connections.remove(id);
+            close(id, CloseReason::Unusable, &mut self.connections);
         }
         None
     }
@@ -175,7 +180,7 @@
             .filter(|endpoint| endpoint.idle.len() < MAX_IDLE_PER_ENDPOINT);
         match endpoint {
             Some(endpoint) => endpoint.idle.push(id),
-            None => drop(self.connections.remove(id)),
+            None => drop(close(id, CloseReason::NotNeeded, &mut self.connections)),
         }
     }
 
@@ -193,7 +198,7 @@
             .filter(|(_, connection)| connection.is_idle())
             .min_by_key(|(_, connection)| connection.state_deadline())
             .map(|(id, _)| id);
-        next_to_expire.is_some_and(|id| self.remove(id).is_some())
+        next_to_expire.is_some_and(|id| self.remove(id, CloseReason::Evicted).is_some())
     }
 
     /// Adds a connection in use.
@@ -207,11 +212,22 @@
     }
 
     /// Removes a connection from the pool, whether idle or in use.
-    pub fn remove(&mut self, id: ConnectionId) -> Option<BackendConnection> {
-        let connection = self.connections.remove(id)?;
+    pub fn remove(&mut self, id: ConnectionId, reason: CloseReason) -> Option<BackendConnection> {
+        let connection = close(id, reason, &mut self.connections)?;
         if let Some(endpoint) = self.endpoints.get_mut(connection.endpoint()) {
             endpoint.idle.retain(|idle| *idle != id);
         }
         Some(connection)
     }
 }
+
+/// Removes a connection and logs why. It is closed when the caller drops it.
+fn close(
+    id: ConnectionId,
+    reason: CloseReason,
+    connections: &mut ConnectionTable<BackendConnection>,
+) -> Option<BackendConnection> {
+    let connection = connections.remove(id)?;
+    tracing::info!(endpoint = %connection.endpoint(), connection = %id, %reason, "endpoint connection closed");
+    Some(connection)
+}
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -18,7 +18,7 @@
 use super::reactor::{ConnectionId, ConnectionTable, TimerEvent};
 use super::{Context, Event};
 use crate::endpoint_list::EndpointList;
-use crate::interface::UpdateKind;
+use crate::interface::{EndpointStatus, UpdateKind};
 use crate::json;
 use error::WatchError;
 use list_splitter::WatchMessage;
@@ -32,7 +32,7 @@
     budget: MemoryBudget,
     /// The version of the last received list.
     list_version: u64,
-    /// The last error; cleared when a list or heartbeat is received. An equal error is not logged again.
+    /// The last error; cleared when a list or heartbeat is received. An equal error is not logged as a warning again.
     last_error: Option<WatchError>,
 }
 
@@ -67,6 +67,7 @@
     }
 
     fn try_open_watch(&mut self, context: &mut Context) -> Result<(), WatchError> {
+        tracing::info!(address = %self.address, since = self.list_version, "endpoint list requested");
         let stream = TcpStream::connect(self.address).map_err(|_| WatchError::ConnectFailed)?;
         let now = context.reactor.now();
         let timeouts = match self.last_error {
@@ -92,6 +93,8 @@
         self.close_current();
         if self.last_error.replace(error) != Some(error) {
             tracing::warn!(%error, "endpoint watch failed");
+        } else {
+            tracing::info!(%error, "endpoint watch failed again");
         }
         context.events.push_back(Event::WatchFailed);
     }
@@ -134,6 +137,7 @@
     fn apply_list(&mut self, list: EndpointList, id: ConnectionId, context: &mut Context) {
         self.mark_answered(id);
         self.list_version = list.version;
+        log_list(&list);
         let kind = if list.is_snapshot { UpdateKind::Snapshot } else { UpdateKind::Delta };
         context.events.push_back(Event::EndpointsUpdated(kind, list.endpoints));
     }
@@ -157,6 +161,14 @@
     }
 }
 
+/// Logs the version of a list and its entries that accept no requests.
+fn log_list(list: &EndpointList) {
+    let not_serving = list.endpoints.iter().filter(|entry| entry.status != EndpointStatus::Serving);
+    let not_serving: Vec<_> = not_serving.map(|entry| (&entry.name, entry.status)).collect();
+    let (version, snapshot, entries) = (list.version, list.is_snapshot, list.endpoints.len());
+    tracing::info!(version, snapshot, entries, ?not_serving, "endpoint list received");
+}
+
 /// Decodes a list. A list with an invalid entry is rejected as a whole: a snapshot without the entry would
 /// mean that the endpoint was removed.
 fn decode_list(text: &[u8]) -> Option<EndpointList> {
--- a/src/net/frontend/connection.rs
+++ b/src/net/frontend/connection.rs
@@ -30,6 +30,17 @@
     LimitReached,
 }
 
+/// Why the pooler closes a connection between queries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(super) enum GracefulClose {
+    /// It was idle while many connections were open.
+    #[error("idle")]
+    Idle,
+    /// The pooler shuts down, and all queries of the connection are answered.
+    #[error("shutdown")]
+    Shutdown,
+}
+
 /// A client connection.
 pub(super) struct ClientConnection {
     socket: ClientSocket,
@@ -182,7 +193,13 @@
     }
 
     /// Starts to close the connection. The client still has time to read its pending responses.
-    pub(super) fn close_gracefully(&mut self, id: ConnectionId, context: &mut Context) {
+    pub(super) fn close_gracefully(
+        &mut self,
+        id: ConnectionId,
+        reason: GracefulClose,
+        context: &mut Context,
+    ) {
+        tracing::info!(client = %id, %reason, "closing client connection");
         self.session.start_closing();
         self.update_deadline(id, context);
     }
--- a/src/net/frontend/connection_limit.rs
+++ b/src/net/frontend/connection_limit.rs
@@ -57,6 +57,8 @@
                 // The old connection is closed only after the new one is accepted, which briefly takes a
                 // reserved file descriptor.
                 if let Some(id) = evicted {
+                    let reason = "replaced by a new connection";
+                    tracing::info!(client = %id, reason, "client connection closed");
                     self.connections.remove(id);
                 }
                 self.add_connection(stream, context);
--- a/src/net/frontend/error.rs
+++ b/src/net/frontend/error.rs
@@ -4,24 +4,34 @@
 
 use crate::net::buffer::CapacityExceeded;
 
-/// The connection must be closed and removed, for one of these reasons:
-///
-/// - The client has closed the socket or has sent Terminate or a cancel request.
-/// - The client has missed its deadline while output is unread or the connection is closing.
-/// - The socket has failed.
-/// - The memory budget is exhausted.
-#[derive(Debug, thiserror::Error)]
-#[error("the client connection must be closed")]
-pub(super) struct MustClose;
+/// The connection must be closed and removed. The reason is logged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(super) enum MustClose {
+    /// The client has closed the socket or has sent Terminate.
+    #[error("disconnected by the client")]
+    ClientDisconnected,
+    /// The connection has carried a cancel request, which is its only message.
+    #[error("cancel request")]
+    CancelRequest,
+    /// The client has missed its deadline while output is unread or the connection is closing.
+    #[error("the client does not read or close")]
+    DeadlineMissed,
+    /// The socket has failed.
+    #[error("socket error")]
+    SocketFailed,
+    /// The memory budget is exhausted.
+    #[error("no memory")]
+    OutOfMemory,
+}
 
 impl From<CapacityExceeded> for MustClose {
     fn from(_: CapacityExceeded) -> MustClose {
-        MustClose
+        MustClose::OutOfMemory
     }
 }
 
 impl From<io::Error> for MustClose {
     fn from(_: io::Error) -> MustClose {
-        MustClose
+        MustClose::SocketFailed
     }
 }
--- a/src/net/frontend/input.rs
+++ b/src/net/frontend/input.rs
@@ -49,7 +49,7 @@
         let received_before = self.buffer.total_received();
         let status = self.buffer.read_from(source)?;
         if status == ReadStatus::EndOfStream {
-            return Err(MustClose);
+            return Err(MustClose::ClientDisconnected);
         }
         let received = self.buffer.total_received();
         self.arrival_times.record(received, self.buffer.total_consumed(), now);
@@ -64,7 +64,7 @@
     pub(super) fn discard_from(&mut self, source: &mut impl Read) -> Result<bool, MustClose> {
         let status = self.buffer.read_from(source)?;
         if status == ReadStatus::EndOfStream {
-            return Err(MustClose);
+            return Err(MustClose::ClientDisconnected);
         }
         let may_have_more = status == ReadStatus::Full && !self.buffer.is_empty();
         self.buffer.consume(self.buffer.len());
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -45,6 +45,7 @@
 use super::{CancelKey, Context, Event, Response};
 use crate::counters::Counters;
 use acceptor::Acceptor;
+use connection::GracefulClose;
 use connections::ClientConnections;
 use error::MustClose;
 use idle::{IdleConnection, IDLE_SWEEP_INTERVAL};
@@ -103,7 +104,7 @@
 
     /// Handles a connection that its client has closed. Unread input is discarded, except a cancel request.
     pub fn client_disconnected(&mut self, id: ConnectionId, context: &mut Context) {
-        self.finish_cycle(id, Err(MustClose), context);
+        self.finish_cycle(id, Err(MustClose::ClientDisconnected), context);
     }
 
     /// Handles an expired timer of a connection: runs its next cycle if it was left to a timer, and closes
@@ -135,7 +136,7 @@
             if !idle.is_still_idle(connection.session(), now) {
                 continue;
             }
-            connection.close_gracefully(idle.id, context);
+            connection.close_gracefully(idle.id, GracefulClose::Idle, context);
             context.counters.idle_closed += 1;
             let result = connection.run_cycle(idle.id, self.service, context);
             self.finish_cycle(idle.id, result, context);
@@ -201,12 +202,13 @@
         let Some(connection) = self.connections.get_mut(id) else { return };
         let is_busy = connection.session().phase() == Phase::Busy;
         if self.service.is_draining() && result.is_ok() && connection.can_close() {
-            connection.close_gracefully(id, context);
+            connection.close_gracefully(id, GracefulClose::Shutdown, context);
             result = connection.run_cycle(id, self.service, context);
         }
         connection.update_deadline(id, context);
         let is_closed = result.is_err();
-        if is_closed {
+        if let Err(reason) = result {
+            tracing::info!(client = %id, %reason, "client connection closed");
             if is_busy {
                 context.events.push_back(Event::ClientDisconnected(id));
             }
--- a/src/net/frontend/session.rs
+++ b/src/net/frontend/session.rs
@@ -153,11 +153,11 @@
     /// error. Without pending input no error is sent, since it could be taken for the response to a query.
     pub(super) fn close_timed_out(&mut self, counters: &mut Counters) -> Result<(), MustClose> {
         if self.phase().is_closing() {
-            return Err(MustClose);
+            return Err(MustClose::DeadlineMissed);
         }
         counters.client_timeouts += 1;
         if !self.output.is_empty() {
-            return Err(MustClose);
+            return Err(MustClose::DeadlineMissed);
         }
         if !self.input.is_empty() {
             let message = "message not completed in time";
@@ -202,6 +202,7 @@
         counters: &mut Counters,
     ) -> Result<(), MustClose> {
         counters.malformed += 1;
+        tracing::info!(reason = message, "client session ended with an error");
         self.output.push_fatal_error(code, message)?;
         self.start_closing();
         Ok(())
--- a/src/net/frontend/session/messages.rs
+++ b/src/net/frontend/session/messages.rs
@@ -79,7 +79,7 @@
             }
             StartupRequest::Cancel(key) => {
                 context.events.push_back(Event::CancelRequested(key));
-                Err(MustClose)
+                Err(MustClose::CancelRequest)
             }
             StartupRequest::UnsupportedVersion => {
                 let code = sqlstate::FEATURE_NOT_SUPPORTED;
@@ -94,7 +94,7 @@
         cycle: &mut CycleContext,
     ) -> Result<(), MustClose> {
         match message.kind {
-            Some(ClientMessageKind::Terminate) => Err(MustClose),
+            Some(ClientMessageKind::Terminate) => Err(MustClose::ClientDisconnected),
             Some(ClientMessageKind::Sync) => {
                 self.state.sync();
                 self.output.push_ready_for_query()
@@ -152,11 +152,11 @@
         let received_at = self.input.message_received_at();
         if let Some(drain) = cycle.service.rejecting_drain(received_at) {
             let code = sqlstate::CANNOT_CONNECT_NOW;
-            return self.reject_query(code, "shutting down", drain.retry_after(), cycle);
+            return self.reject_query(&query.id, code, "shutting down", drain.retry_after(), cycle);
         }
         // The length of each statement is limited, but many statements together may exceed the memory budget.
         let Ok(memory) = self.input.reserve_memory(query.statement.text.len()) else {
-            return self.reject_query(sqlstate::TOO_MANY_CONNECTIONS, "no memory", None, cycle);
+            return self.reject_query(&query.id, sqlstate::TOO_MANY_CONNECTIONS, "no memory", None, cycle);
         };
         query.statement.memory = Some(memory);
         self.state.start_query();
@@ -167,12 +167,14 @@
     /// Rejects a query that was not passed on for execution.
     fn reject_query(
         &mut self,
+        id: &str,
         code: &str,
         message: &str,
         retry_after: Option<Duration>,
         cycle: &mut CycleContext,
     ) -> Result<(), MustClose> {
         cycle.context.counters.rejected += 1;
+        tracing::info!(request = %id, reason = message, ?retry_after, "request rejected");
         self.output.push_rejection(code, message, retry_after)
     }
 }
--- a/src/net/frontend/tests.rs
+++ b/src/net/frontend/tests.rs
@@ -76,7 +76,7 @@
         }
         self.frontend.respond(id, Response::Value(LONG_RESPONSE.to_vec()), &mut self.context);
         let connection = self.frontend.connections.get_mut(id).unwrap();
-        connection.close_gracefully(id, &mut self.context);
+        connection.close_gracefully(id, GracefulClose::Idle, &mut self.context);
         self.frontend.ready(id, &mut self.context);
         assert_eq!(self.connection().session().phase(), Phase::Closing, "the response does not fit");
     }
--- a/src/net/pooler/actions.rs
+++ b/src/net/pooler/actions.rs
@@ -25,11 +25,15 @@
                     self.backend.cancel(connection, context);
                 }
             }
-            Action::Reject { id, retry_after } => {
+            Action::Reject { id, retry_after, reason } => {
                 let retry_after = retry_after.map(duration_of);
+                tracing::info!(request = %id, %reason, ?retry_after, "request rejected");
                 self.finish_request(&id, Response::Rejected { retry_after }, context);
             }
-            Action::Fail { id } => self.finish_request(&id, Response::Failed, context),
+            Action::Fail { id, reason } => {
+                tracing::info!(request = %id, %reason, "request failed");
+                self.finish_request(&id, Response::Failed, context);
+            }
             Action::SetTimer { at, cookie } => {
                 let at = context.reactor.instant_of(at);
                 context.reactor.set_timer(at, TimerEvent::Policy(cookie));
@@ -51,6 +55,9 @@
         let Some(attempt) = self.requests.start_attempt(id.clone()) else { return };
         context.counters.attempts_sent += 1;
         let number = attempt.number;
+        if number > 0 {
+            tracing::info!(request = %id, attempt = number, %endpoint, "request sent again");
+        }
         let connection = self.backend.send(Task::Attempt(attempt), endpoint, timeout, context);
         self.requests.record_attempt_sent(&id, number, connection);
     }
--- a/src/net/pooler/completions.rs
+++ b/src/net/pooler/completions.rs
@@ -26,6 +26,10 @@
         let AttemptTask { request: id, number, .. } = attempt;
         let outcome = completion.outcome;
         context.counters.attempt_outcomes.record(outcome);
+        if outcome != Outcome::Success {
+            let (endpoint, elapsed) = (&completion.endpoint, completion.elapsed);
+            tracing::info!(request = %id, attempt = number, %endpoint, ?outcome, ?elapsed, "attempt ended");
+        }
         let Some(client) = self.requests.record_attempt_finished(&id, number) else { return };
         let response = final_response(outcome, completion.value);
         let result = AttemptResult {
--- a/src/net/pooler/queries.rs
+++ b/src/net/pooler/queries.rs
@@ -99,7 +99,10 @@
     ) {
         let class = match self.validate(&query) {
             Ok(class) => class,
-            Err(reason) => return self.frontend.respond(client, Response::Invalid(reason), context),
+            Err(reason) => {
+                tracing::info!(request = %query.id, %reason, "query invalid");
+                return self.frontend.respond(client, Response::Invalid(reason), context);
+            }
         };
         context.counters.requests_received += 1;
         let id = RequestId::from(query.id.as_str());
@@ -124,6 +127,7 @@
     pub(super) fn abandon_request(&mut self, client: ConnectionId, context: &mut Context) {
         let Some(request) = self.requests.abandon(client) else { return };
         context.counters.client_disconnects += 1;
+        tracing::info!(request = %request.id, "request abandoned by its client");
         self.notify_policy(interface::Event::ClientDisconnected { id: request.id.clone() }, context);
         for connection in request.connections {
             self.backend.cancel(connection, context);
--- a/src/net/reactor/connection_table.rs
+++ b/src/net/reactor/connection_table.rs
@@ -1,6 +1,8 @@
 //! Table of connections by ID. Generations keep the ID of a removed connection from matching the next
 //! connection in the same slot.
 
+use std::fmt;
+
 use slab::Slab;
 
 /// Number of bits of a generation. An event token holds the generation together with the slot index and the
@@ -17,6 +19,12 @@
     pub(super) generation: u32,
 }
 
+impl fmt::Display for ConnectionId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.index, self.generation)
+    }
+}
+
 /// An occupied slot: a connection and the generation of its ID.
 struct Entry<T> {
     generation: u32,
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -1,9 +1,9 @@
 //! The life cycle of a request: receipt, dispatch, attempts and the final answer.
 
-use crate::interface::{Action, AttemptResult, Outcome, Request, RequestId, StateChange};
+use crate::interface::{Action, AttemptResult, GiveUpReason, Outcome, Request, RequestId, StateChange};
 use crate::policy::cluster::EndpointKey;
 use crate::policy::endpoint::evidence::Observation;
-use crate::policy::give_up::{self, GiveUpReason};
+use crate::policy::give_up;
 use crate::policy::overdue::{self, OverdueAttempt};
 use crate::policy::primary;
 use crate::policy::read_routing::ReadRouter;
@@ -23,7 +23,11 @@
     /// Handles a new request: sends it, queues it or gives it up.
     pub(crate) fn request_received(&mut self, request: Request) {
         if request.class >= self.cluster.settings().classes.len() {
-            self.actions.push(Action::Reject { id: request.id, retry_after: None });
+            self.actions.push(Action::Reject {
+                id: request.id,
+                retry_after: None,
+                reason: GiveUpReason::UnknownClass,
+            });
             return;
         }
         self.record_request(&request);
@@ -149,7 +153,7 @@
             self.actions.push(Action::Log(StateChange::SheddingLoad));
         }
         let Some(request) = self.requests.get(key) else { return };
-        self.actions.push(give_up::final_answer(request, &self.cluster, &mut self.rng));
+        self.actions.push(give_up::final_answer(request, reason, &self.cluster, &mut self.rng));
         self.requests.finish(key);
     }
 
--- a/src/policy/give_up/tests.rs
+++ b/src/policy/give_up/tests.rs
@@ -19,7 +19,12 @@
 }
 
 fn retry_after(now: f64, settings: Settings) -> Option<Span> {
-    let answer = final_answer(&pending("a", 0), &cluster(now, settings), &mut Rng::with_seed(1));
+    let answer = final_answer(
+        &pending("a", 0),
+        GiveUpReason::NoCapacity,
+        &cluster(now, settings),
+        &mut Rng::with_seed(1),
+    );
     match answer {
         Action::Reject { retry_after, .. } => retry_after,
         other => panic!("{other:?}"),
@@ -31,8 +36,8 @@
     let mut request = pending("a", 0);
     request.add_attempt(Attempt::new(0, at(0.1)));
     let cluster = cluster(0.2, settings(Idempotency::NonIdempotent));
-    let answer = final_answer(&request, &cluster, &mut Rng::with_seed(1));
-    assert_eq!(answer, Action::Fail { id: "a".into() });
+    let answer = final_answer(&request, GiveUpReason::RetryBudgetExhausted, &cluster, &mut Rng::with_seed(1));
+    assert_eq!(answer, Action::Fail { id: "a".into(), reason: GiveUpReason::RetryBudgetExhausted });
 }
 
 #[test]
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -45,13 +45,12 @@
 
 use fastrand::Rng;
 
-use crate::interface::{Action, Endpoint, Event, StateChange, UpdateKind};
+use crate::interface::{Action, Endpoint, Event, GiveUpReason, StateChange, UpdateKind};
 use crate::settings::{validate, Settings, SettingsError};
 use crate::time::LocalInstant;
 use admission::Admission;
 use cluster::{Cluster, EndpointKey};
 use connection_shortage::ConnectionShortage;
-use give_up::GiveUpReason;
 use housekeeping::Housekeeping;
 use primary::health_checks::HealthChecks;
 use request::RequestTable;
--- a/src/policy/primary/mod.rs
+++ b/src/policy/primary/mod.rs
@@ -4,10 +4,10 @@
 pub(crate) mod health_checks;
 pub(crate) mod search;
 
+use crate::interface::GiveUpReason;
 use crate::policy::admission::Admission;
 use crate::policy::cluster::{Cluster, EndpointKey, Group};
 use crate::policy::endpoint::PrimaryClaim;
-use crate::policy::give_up::GiveUpReason;
 use crate::policy::request::PendingRequest;
 use crate::policy::slow_start::SlowStart;
 use crate::policy::{RouteError, RouteResult};
--- a/src/policy/read_routing.rs
+++ b/src/policy/read_routing.rs
@@ -18,11 +18,11 @@
 
 use fastrand::Rng;
 
+use crate::interface::GiveUpReason;
 use crate::policy::admission::Admission;
 use crate::policy::cluster::{Cluster, EndpointKey};
 use crate::policy::endpoint::outlier_detection::MAX_EJECTION_TIME;
 use crate::policy::freshness::{self, Freshness, RequiredPosition};
-use crate::policy::give_up::GiveUpReason;
 use crate::policy::random::TwoChoices;
 use crate::policy::request::PendingRequest;
 use crate::policy::slow_start::SlowStart;
--- a/src/policy/retry/mod.rs
+++ b/src/policy/retry/mod.rs
@@ -27,10 +27,9 @@
 
 mod budget;
 
-use crate::interface::Outcome;
+use crate::interface::{AttemptDenied, GiveUpReason, Outcome};
 use crate::policy::admission::LatencyEstimator;
 use crate::policy::cluster::Cluster;
-use crate::policy::give_up::GiveUpReason;
 use crate::policy::overdue::OverdueCause;
 use crate::policy::request::PendingRequest;
 use crate::settings::{Consistency, DeduplicationScope, Idempotency, RequestClass, Settings};
@@ -42,17 +41,6 @@
 /// Number of attempts of a request, counted from the first, that may be replaced when overdue.
 const MAX_REPLACED_ATTEMPTS: usize = 3;
 
-/// Why a request is denied another attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum AttemptDenied {
-    /// The settings allow no more attempts in flight.
-    TooManyInFlight,
-    /// `max_attempts` were made.
-    AttemptsExhausted,
-    /// An earlier attempt may have been executed, so a repeat could execute the request twice.
-    UnsafeRepeat,
-}
-
 /// Until when a possibly executed request may be repeated.
 enum RepeatLimit {
     Always,
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -15,6 +15,7 @@
 mod discovery;
 mod harness;
 mod hedging;
+mod log_lines;
 mod malformed_responses;
 mod routing;
 mod shutdown_and_reload;
--- a/tests/policy/invariants/checker.rs
+++ b/tests/policy/invariants/checker.rs
@@ -185,7 +185,7 @@
                 }
                 Ok(())
             }
-            Action::Reject { id, .. } | Action::Fail { id } => {
+            Action::Reject { id, .. } | Action::Fail { id, .. } => {
                 let rejects = matches!(action, Action::Reject { .. });
                 self.check_final_answer(id, rejects).map_err(|invariant| violation(invariant, id))?;
                 self.coverage.rejections += usize::from(rejects);
--- a/tests/policy/retries.rs
+++ b/tests/policy/retries.rs
@@ -1,6 +1,6 @@
 //! Attempts of requests: deadlines, retries, the retry budget, idempotency keys and hedged requests.
 
-use pg_pooler::interface::{Action, Event, Outcome, Role, UpdateKind};
+use pg_pooler::interface::{Action, AttemptDenied, Event, GiveUpReason, Outcome, Role, UpdateKind};
 use pg_pooler::settings::Settings;
 use rstest::rstest;
 
@@ -54,7 +54,7 @@
     );
     let actions = sim.advance_time(0.1);
     let is_rejection = |action: &Action| match action {
-        Action::Reject { id, retry_after } => &**id == "w" && *retry_after > Some(secs(0.0)),
+        Action::Reject { id, retry_after, .. } => &**id == "w" && *retry_after > Some(secs(0.0)),
         _ => false,
     };
     assert!(actions.iter().any(is_rejection), "{actions:?}");
@@ -103,7 +103,13 @@
     sim.request("u", NON_IDEMPOTENT_WRITE);
     let actions = sim.finish_attempt("u", PRIMARY, 0, Outcome::Error);
     let first = actions.iter().find(|action| !matches!(action, Action::SetTimer { .. }));
-    assert_eq!(first, Some(&Action::Fail { id: "u".into() }));
+    assert_eq!(
+        first,
+        Some(&Action::Fail {
+            id: "u".into(),
+            reason: GiveUpReason::AttemptDenied(AttemptDenied::UnsafeRepeat)
+        })
+    );
 }
 
 #[test]
@@ -123,7 +129,10 @@
         (0, 1),
         "the remaining window is too short to connect"
     );
-    assert!(actions.contains(&Action::Fail { id: "w".into() }));
+    assert!(actions.contains(&Action::Fail {
+        id: "w".into(),
+        reason: GiveUpReason::AttemptDenied(AttemptDenied::UnsafeRepeat)
+    }));
 }
 
 /// Sends a write that gets no answer and then, if `later_writes_succeed`, twenty writes that are answered.
@@ -280,7 +289,11 @@
     let read = announce_shutdown(&mut sim, "read");
     assert!(matches!(&read[..], [Action::Reject { .. }]), "a retry is safe: {read:?}");
     let write = announce_shutdown(&mut sim, "write");
-    assert_eq!(write, [Action::Fail { id: "write".into() }], "it may have been executed");
+    assert_eq!(
+        write,
+        [Action::Fail { id: "write".into(), reason: GiveUpReason::Shutdown }],
+        "it may have been executed"
+    );
     assert_eq!(announce_shutdown(&mut sim, "write"), []);
     assert_eq!(announce_shutdown(&mut sim, "unknown"), []);
 }
