Show queries to draining hosts after an outage of discovery, as known failures

Real processes on loopback: a pooler, two hosts and a discovery service that is down from the start. At the end of the outage the list drains one host. Before any change of the program the last query reached that host, after the drain was told, 0.93 s where the outage ended while the pooler waited between two calls, 0.82 s the same with refused calls, 3.36 and 3.59 s where it ended during a call that is never answered, 1.03 s where it ended during a call that was never connected, against 0.35 s (grace 0.3 s) and 2.05 s (2 s).

--- a/tests/loopback/harness/database_host.rs
+++ b/tests/loopback/harness/database_host.rs
@@ -53,10 +53,7 @@
     /// Accepts the next connection and reads its startup message, without answering it.
     pub fn accept_unanswered_startup(&self) -> Connection {
         let mut connection = self.accept_without_startup();
-        let mut length = [0; 4];
-        connection.stream.read_exact(&mut length).unwrap();
-        let mut parameters = vec![0; u32::from_be_bytes(length) as usize - 4];
-        connection.stream.read_exact(&mut parameters).unwrap();
+        connection.receive_startup();
         connection
     }
 
@@ -75,6 +72,14 @@
 }
 
 impl Connection {
+    /// Receives the startup message.
+    pub fn receive_startup(&mut self) {
+        let mut length = [0; 4];
+        self.stream.read_exact(&mut length).unwrap();
+        let mut parameters = vec![0; u32::from_be_bytes(length) as usize - 4];
+        self.stream.read_exact(&mut parameters).unwrap();
+    }
+
     /// Answers the startup message. The pooler may then send queries.
     pub fn complete_startup(&mut self) {
         self.send(&startup_response());
--- a/tests/loopback/harness/discovery.rs
+++ b/tests/loopback/harness/discovery.rs
@@ -11,6 +11,7 @@
     "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 /// One database host in the endpoint list. Formatted as JSON.
+#[derive(Clone)]
 pub struct EndpointEntry {
     pub name: String,
     pub address: SocketAddr,
--- a/tests/loopback/harness/pooler.rs
+++ b/tests/loopback/harness/pooler.rs
@@ -64,6 +64,15 @@
 impl Pooler {
     /// Starts the program with the endpoint list `known` and the edited configuration.
     pub fn start(known: &EndpointList, discovery: &DiscoveryService, edits: &[Edit]) -> Pooler {
+        Pooler::start_with_discovery_address(known, discovery.address(), edits)
+    }
+
+    /// Starts the program like [`start`](Self::start), with a discovery service at any address.
+    pub fn start_with_discovery_address(
+        known: &EndpointList,
+        discovery: SocketAddr,
+        edits: &[Edit],
+    ) -> Pooler {
         Pooler::start_command(Command::new(PROGRAM), known, discovery, edits)
     }
 
@@ -76,19 +85,19 @@
     ) -> Pooler {
         let mut command = Command::new("sh");
         command.arg("-c").arg(format!("ulimit -n {count}; exec \"$0\" \"$@\"")).arg(PROGRAM);
-        Pooler::start_command(command, known, discovery, &[])
+        Pooler::start_command(command, known, discovery.address(), &[])
     }
 
     fn start_command(
         mut command: Command,
         known: &EndpointList,
-        discovery: &DiscoveryService,
+        discovery: SocketAddr,
         edits: &[Edit],
     ) -> Pooler {
         let number = POOLERS_STARTED.fetch_add(1, Ordering::Relaxed);
         let file = format!("pg-pooler-{}-{number}.json", std::process::id());
         let path = std::env::temp_dir().join(file);
-        std::fs::write(&path, configuration(known, discovery.address(), edits)).unwrap();
+        std::fs::write(&path, configuration(known, discovery, edits)).unwrap();
         command.args(["serve", "--config"]).arg(&path).stderr(Stdio::piped());
         let mut child = command.spawn().expect("failed to start the pooler");
         let log = read_lines(child.stderr.take().unwrap());
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -13,6 +13,7 @@
 mod clocks;
 mod deadlines;
 mod discovery;
+mod discovery_outages;
 mod harness;
 mod hedging;
 mod log_lines;
