Request the endpoint list again within the drain grace after a failed call

Callers saw work turned away by hosts that had begun to drain: requests were sent to them after the grace, as the pooler did not have the list yet.

Cause: a call for the list that failed was followed by a backoff of up to 1 s, and a call without an answer was waited for for 1 s, then 2.5 s, whatever the settings allow. What the agent on the pooler's machine gets at the end of an outage counts as known at once, so that the whole grace passed in such a wait; `invariants.drainGrace` was not read at all.

Change: the pause after a failure is a twentieth of the grace, and a call without an answer is repeated after a quarter of it. The oldest unanswered call stays open beside the latest, up to 2.5 s, for a service that is slow. The first call is made at once at the start. Settings tell a shared service, as in the simulator, from the agent on the pooler's machine; the former keeps its backoff.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -13,7 +13,7 @@
 use crate::endpoint_list::EndpointList;
 use crate::json;
 use crate::json::lenient::{self, Number};
-use crate::settings::Settings;
+use crate::settings::{ListDelivery, Settings};
 
 pub use crate::json::lenient::NotANumber;
 pub use crate::json::JsonError;
@@ -160,7 +160,7 @@
 fn decode_valid_settings(raw: &RawSettings) -> Result<Settings, ParseConfigError> {
     let mut settings = raw.decode()?;
     // `registryMode` is ignored: service discovery sends updates only while the list is watched.
-    settings.watch_endpoints = true;
+    settings.list_delivery = ListDelivery::LocalAgent;
     // Pooler and endpoints share a clock only in the simulator. The clock of a real machine may be wrong.
     settings.shares_endpoint_clock = false;
     crate::settings::validate(&settings)?;
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -11,7 +11,7 @@
 use crate::json::{self, JsonError};
 use crate::load_report::{LOG_POSITION_FIELD, ROLE_FIELD};
 use crate::settings::{
-    require_non_negative, Consistency, DeduplicationScope, Idempotency, RequestClass, Settings,
+    require_non_negative, Consistency, DeduplicationScope, Idempotency, ListDelivery, RequestClass, Settings,
     SettingsError, StaleReadHandling,
 };
 use crate::time::Span;
@@ -123,6 +123,7 @@
 #[serde(default, rename_all = "camelCase")]
 struct RawInvariants {
     ask_within: Number,
+    drain_grace: Number,
     cold_from: Number,
     warm_up: Number,
     tip_multiple: Number,
@@ -170,8 +171,9 @@
             send_retry_after: limits.retry_after,
             max_retry_after: span(limits.max_retry_after, "maxRetryAfter", 0.0)?,
             connect_timeout: span(limits.connect_timeout, "connectTimeout", 0.25)?,
-            watch_endpoints: self.registry_mode.as_deref() == Some("subscribe"),
+            list_delivery: self.list_delivery(),
             max_watch_gap: span(invariants.ask_within, "askWithin", 10.0)?,
+            drain_grace: span(invariants.drain_grace, "drainGrace", 2.0)?,
             initial_capacity: invariants.cold_from.or("coldFrom", 1.0)?,
             slow_start_window: span(invariants.warm_up, "warmUp", 0.0)?,
             overload_limit: optional(invariants.tip_multiple, "tipMultiple")?,
@@ -182,6 +184,13 @@
         })
     }
 
+    fn list_delivery(&self) -> ListDelivery {
+        match self.registry_mode.as_deref() {
+            Some("subscribe") => ListDelivery::SharedService,
+            _ => ListDelivery::Unrequested,
+        }
+    }
+
     /// Combines the classes with their consistency levels, which are in an array of their own.
     fn decode_classes(&self) -> Result<Vec<RequestClass>, DecodeSettingsError> {
         let classes = self.classes.as_deref().ok_or(DecodeSettingsError::MissingClasses)?;
--- a/src/interface/action.rs
+++ b/src/interface/action.rs
@@ -57,7 +57,8 @@
         /// The endpoint whose connections are closed.
         endpoint: EndpointId,
     },
-    /// Start to watch the endpoint list.
+    /// Request the endpoint list and its changes. An earlier request that has no answer yet stays open beside
+    /// this one; the first answer counts.
     Watch,
     /// Write a change of state to the operator's log.
     Log(StateChange),
--- a/src/interface/event.rs
+++ b/src/interface/event.rs
@@ -55,6 +55,8 @@
     /// A request for the endpoint list failed, or the watch was interrupted. The policy keeps using the last
     /// list that it received.
     WatchFailed,
+    /// The discovery service has begun to answer a request for the endpoint list.
+    WatchAnswered,
     /// The endpoint list was updated.
     EndpointsUpdated {
         /// Whether the update is a complete list or a delta.
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -16,16 +16,17 @@
 const PATH: &str = "/catalog/members";
 
 // A change of the endpoint list must reach the pooler within 6 s, even if the current watch has stalled.
-// These timeouts leave time within that limit to open another watch.
+// These timeouts leave time within that limit to open another watch. While no response head comes, the policy
+// opens another watch much earlier.
 
 /// A watch on which nothing is received for this time is closed. Heartbeats are expected every 2 s.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2800);
-/// A watch without a response head after this time is closed. The service sends the head immediately.
-const RESPONSE_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
+/// A watch without a response head after this time is closed. The service may be slow.
+const RESPONSE_HEAD_TIMEOUT: Duration = Duration::from_millis(2500);
 /// A watch is closed if a list that has begun is not complete after this time.
 const LIST_TIMEOUT: Duration = Duration::from_millis(2800);
-/// Factor by which the head and list timeouts of a watch are extended if it follows a failed one, since the
-/// service may be slow.
+/// Factor by which the list timeout of a watch is extended if it follows a failed one, since the service may
+/// be slow.
 const RETRY_TIMEOUT_FACTOR: f64 = 2.5;
 
 /// Limits on the duration of the parts of a watch response.
@@ -45,10 +46,7 @@
 
     /// Timeouts of a watch that follows a failed one.
     pub fn after_failure() -> WatchTimeouts {
-        WatchTimeouts {
-            head: RESPONSE_HEAD_TIMEOUT.mul_f64(RETRY_TIMEOUT_FACTOR),
-            list: LIST_TIMEOUT.mul_f64(RETRY_TIMEOUT_FACTOR),
-        }
+        WatchTimeouts { head: RESPONSE_HEAD_TIMEOUT, list: LIST_TIMEOUT.mul_f64(RETRY_TIMEOUT_FACTOR) }
     }
 }
 
@@ -59,8 +57,6 @@
     output: RingBuffer,
     response: ResponseParser,
     splitter: ListSplitter,
-    /// Whether a list or a heartbeat has been received.
-    answered: bool,
     /// When data was last received, or the watch was opened.
     last_received_at: Instant,
     /// When the current, incomplete list began.
@@ -82,7 +78,6 @@
             output: RingBuffer::new(budget),
             response: ResponseParser::new(),
             splitter: ListSplitter::default(),
-            answered: false,
             last_received_at: now,
             list_started_at: None,
             timeouts,
@@ -95,9 +90,9 @@
         reactor.register(&mut self.stream, EventSource::Discovery(id), interest)
     }
 
-    /// Marks the watch as answered. Returns `true` if it already was.
-    pub fn mark_answered(&mut self) -> bool {
-        std::mem::replace(&mut self.answered, true)
+    /// Returns `true` if the service has begun to answer: the response head is complete and valid.
+    pub fn has_response_head(&self) -> bool {
+        self.response.has_head()
     }
 
     /// Adds the request for all changes since version `list_version` to the output buffer.
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -162,4 +162,6 @@
     EndpointsUpdated(UpdateKind, Vec<ListedEndpoint>),
     /// The endpoint list watch has failed.
     WatchFailed,
+    /// The discovery service has begun to answer the watch.
+    WatchAnswered,
 }
--- a/src/net/pooler/mod.rs
+++ b/src/net/pooler/mod.rs
@@ -67,6 +67,7 @@
                 Event::CancelRequested(key) => self.on_cancel_request(key, context),
                 Event::TaskCompleted(completion) => self.on_task_completed(*completion, context),
                 Event::WatchFailed => self.on_watch_failed(context),
+                Event::WatchAnswered => self.notify_policy(interface::Event::WatchAnswered, context),
                 Event::EndpointsUpdated(kind, endpoints) => {
                     self.on_endpoints_updated(kind, endpoints, context)
                 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -46,7 +46,7 @@
 use fastrand::Rng;
 
 use crate::interface::{Action, Endpoint, Event, GiveUpReason, StateChange, UpdateKind};
-use crate::settings::{validate, Settings, SettingsError};
+use crate::settings::{validate, ListDelivery, Settings, SettingsError};
 use crate::time::LocalInstant;
 use admission::Admission;
 use cluster::{Cluster, EndpointKey};
@@ -61,6 +61,8 @@
 
 /// Cookie of the housekeeping timer. The timers of a request use its key, and keys start at 1.
 const HOUSEKEEPING_COOKIE: u64 = 0;
+/// Cookie of the timer of the watch. Keys of requests stay far below it.
+const WATCH_COOKIE: u64 = 1 << 62;
 /// How long removed endpoints are kept, in multiples of the longest watch gap: far longer than any deadline.
 const REMOVED_ENDPOINT_RETENTION: f64 = 3.0;
 
@@ -122,6 +124,7 @@
         self.cluster.advance_to(now);
         match event {
             Event::WatchFailed => self.watch_failed(),
+            Event::WatchAnswered => self.watch_answered(),
             Event::EndpointsUpdated { kind, endpoints } => self.endpoints_updated(kind, &endpoints),
             Event::Request(request) => self.request_received(request),
             Event::AttemptFinished(result) => self.attempt_finished(&result),
@@ -133,6 +136,7 @@
             }
             Event::ShutdownImminent { id } => self.shutdown_imminent(&id),
             Event::TimerExpired { cookie: HOUSEKEEPING_COOKIE } => self.run_housekeeping(),
+            Event::TimerExpired { cookie: WATCH_COOKIE } => self.request_watch_if_due(),
             Event::TimerExpired { cookie } => self.request_timer_expired(cookie),
         }
         self.schedule_housekeeping();
@@ -150,9 +154,7 @@
     fn run_housekeeping(&mut self) {
         self.housekeeping.record_timer_expired();
         let now = self.cluster.now();
-        if self.watch.start_if_due(self.cluster.settings(), now) {
-            self.actions.push(Action::Watch);
-        }
+        self.request_watch_if_due();
         self.handle_overdue_attempts();
         self.cluster.endpoints_mut().remove_empty_groups();
         self.slow_start.remove_unknown_groups(&self.cluster);
@@ -164,20 +166,45 @@
         }
     }
 
+    /// Requests the watch if that is due, and sets a timer for the next request.
+    fn request_watch_if_due(&mut self) {
+        if self.watch.request_if_due(self.cluster.settings(), self.cluster.now()) {
+            self.actions.push(Action::Watch);
+            self.set_watch_timer();
+        }
+    }
+
+    fn set_watch_timer(&mut self) {
+        if let Some(at) = self.watch.next_request_at() {
+            self.actions.push(Action::SetTimer { at, cookie: WATCH_COOKIE });
+        }
+    }
+
     fn watch_failed(&mut self) {
         let now = self.cluster.now();
         let change = self.watch.record_failure(self.cluster.settings(), now, &mut self.rng);
         if change == WatchChange::Changed {
             self.actions.push(Action::Log(StateChange::WatchLost));
         }
+        self.set_watch_timer();
+    }
+
+    fn watch_answered(&mut self) {
+        if self.watch.record_answer() == WatchChange::Changed {
+            self.actions.push(Action::Log(StateChange::WatchRestored));
+        }
     }
 
     fn endpoints_updated(&mut self, kind: UpdateKind, entries: &[Endpoint]) {
         if kind == UpdateKind::Cached {
             // Session writes are not persisted: after a restart, any session may have written until now.
             self.sessions.assume_writes_until(self.cluster.now());
-        } else if self.watch.record_update() == WatchChange::Changed {
-            self.actions.push(Action::Log(StateChange::WatchRestored));
+            // What the agent has been sent counts as known from the start of the process.
+            if self.cluster.settings().list_delivery == ListDelivery::LocalAgent {
+                self.request_watch_if_due();
+            }
+        } else {
+            self.watch_answered();
         }
         let started = self.cluster.apply_list_update(kind, entries);
         for &endpoint in &started.added {
--- a/src/policy/watch.rs
+++ b/src/policy/watch.rs
@@ -1,9 +1,15 @@
-//! The watch of the endpoint list: when to start it, with exponential backoff and jitter after failures.
+//! The watch of the endpoint list: when to request it.
+//!
+//! A service that all poolers share is requested again with exponential backoff and jitter after failures.
+//! The agent on the pooler's own machine is requested again after a small share of the drain grace: what the
+//! agent has been sent counts as known to the pooler, so a drain must reach the pooler well within the grace.
+//! For the same reason a request that the agent leaves unanswered is repeated. It stays open beside its
+//! repetition, since the agent may answer either.
 
 use fastrand::Rng;
 
 use crate::policy::random::Jitter;
-use crate::settings::Settings;
+use crate::settings::{ListDelivery, Settings};
 use crate::time::{LocalInstant, Span};
 
 /// Longest mean backoff: the list must be current within 6 s after discovery has recovered.
@@ -11,10 +17,18 @@
 /// Half of the first backoff, as a share of the longest watch gap. Each consecutive failure doubles the
 /// backoff.
 const BACKOFF_BASE_SHARE: f64 = 1.0 / 64.0;
-/// An attempt to start the watch that gets no response is repeated after this time.
-const START_TIMEOUT: Span = Span::from_secs(4.0);
+/// A request to a shared service that gets no response is repeated after this time.
+const SHARED_SERVICE_TIMEOUT: Span = Span::from_secs(4.0);
 /// Limit of the failure counter. The backoff reaches its longest duration before that.
 const MAX_COUNTED_FAILURES: i32 = 8;
+/// Mean pause between a failed request to the local agent and the next one, as a share of the drain grace.
+const AGENT_RETRY_SHARE: f64 = 1.0 / 20.0;
+/// Time until a request that the local agent leaves unanswered is repeated, as a share of the drain grace.
+const AGENT_REPEAT_SHARE: f64 = 1.0 / 4.0;
+/// Shortest pause and repetition time, so that a short grace does not turn into a busy loop.
+const MIN_AGENT_INTERVAL: Span = Span::from_secs(0.01);
+/// Longest repetition time.
+const MAX_AGENT_REPEAT: Span = Span::from_secs(1.0);
 
 /// Whether an event has changed the state of the watch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,18 +42,30 @@
 #[derive(Default)]
 pub(crate) struct Watch {
     is_open: bool,
-    retry_at: LocalInstant,
+    next_request_at: LocalInstant,
     consecutive_failures: i32,
 }
 
 impl Watch {
-    /// Returns `true` if the watch has to be started now. If so, it is next due after [`START_TIMEOUT`], or
-    /// after the backoff if it fails earlier.
-    pub(crate) fn start_if_due(&mut self, settings: &Settings, now: LocalInstant) -> bool {
-        if !settings.watch_endpoints || self.is_open || now < self.retry_at {
+    /// Returns when the next request is due, or `None` while the watch is open.
+    pub(crate) fn next_request_at(&self) -> Option<LocalInstant> {
+        (!self.is_open).then_some(self.next_request_at)
+    }
+
+    /// Returns `true` if the watch has to be requested now. The next request is then due after the time limit
+    /// for an answer, or earlier if this one fails.
+    pub(crate) fn request_if_due(&mut self, settings: &Settings, now: LocalInstant) -> bool {
+        let answer_timeout = match settings.list_delivery {
+            ListDelivery::Unrequested => return false,
+            ListDelivery::SharedService => SHARED_SERVICE_TIMEOUT,
+            ListDelivery::LocalAgent => {
+                (settings.drain_grace * AGENT_REPEAT_SHARE).clamp(MIN_AGENT_INTERVAL, MAX_AGENT_REPEAT)
+            }
+        };
+        if self.is_open || now < self.next_request_at {
             return false;
         }
-        self.retry_at = now + START_TIMEOUT;
+        self.next_request_at = now + answer_timeout;
         true
     }
 
@@ -52,9 +78,13 @@
     ) -> WatchChange {
         self.is_open = false;
         self.consecutive_failures = (self.consecutive_failures + 1).min(MAX_COUNTED_FAILURES);
-        let doublings = f64::from(1 << self.consecutive_failures);
-        let backoff = (settings.max_watch_gap * BACKOFF_BASE_SHARE * doublings).min(MAX_BACKOFF);
-        self.retry_at = now + Jitter::EARLY.apply(backoff, rng);
+        let pause = match settings.list_delivery {
+            ListDelivery::LocalAgent => {
+                (settings.drain_grace * AGENT_RETRY_SHARE).clamp(MIN_AGENT_INTERVAL, MAX_BACKOFF)
+            }
+            ListDelivery::SharedService | ListDelivery::Unrequested => self.backoff(settings),
+        };
+        self.next_request_at = now + Jitter::EARLY.apply(pause, rng);
         if self.consecutive_failures == 1 {
             WatchChange::Changed
         } else {
@@ -62,8 +92,13 @@
         }
     }
 
-    /// Records that an update was received.
-    pub(crate) fn record_update(&mut self) -> WatchChange {
+    fn backoff(&self, settings: &Settings) -> Span {
+        let doublings = f64::from(1 << self.consecutive_failures);
+        (settings.max_watch_gap * BACKOFF_BASE_SHARE * doublings).min(MAX_BACKOFF)
+    }
+
+    /// Records that the service has answered a request, or has sent an update.
+    pub(crate) fn record_answer(&mut self) -> WatchChange {
         self.is_open = true;
         if std::mem::take(&mut self.consecutive_failures) > 0 {
             WatchChange::Changed
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -122,6 +122,18 @@
     }
 }
 
+/// How a policy gets the endpoint list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListDelivery {
+    /// Updates arrive without a watch.
+    Unrequested,
+    /// The policy has to request a watch from a service that all poolers share. Each request loads it.
+    SharedService,
+    /// The policy has to request a watch from an agent on its own machine. Requests cost nothing, and whatever
+    /// the agent has been sent counts as known to the pooler.
+    LocalAgent,
+}
+
 /// The settings of a policy. [`Policy::new`](crate::Policy::new) checks their ranges.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -156,10 +168,12 @@
     pub max_retry_after: Span,
     /// Time limit for establishing a connection to an endpoint.
     pub connect_timeout: Span,
-    /// Whether the policy has to request a watch of the endpoint list; otherwise updates arrive without one.
-    pub watch_endpoints: bool,
+    /// How the policy gets the endpoint list.
+    pub list_delivery: ListDelivery,
     /// Longest time that may pass without an open watch of the endpoint list or a request for one.
     pub max_watch_gap: Span,
+    /// How long requests may still be sent to an endpoint after its drain or removal is known.
+    pub drain_grace: Span,
     /// Share of its full capacity that an endpoint has immediately after it starts.
     pub initial_capacity: f64,
     /// Time after its start at which an endpoint reaches its full capacity.
@@ -222,8 +236,9 @@
             send_retry_after: true,
             max_retry_after: Span::from_secs(1.0),
             connect_timeout: Span::from_secs(0.25),
-            watch_endpoints: false,
+            list_delivery: ListDelivery::Unrequested,
             max_watch_gap: Span::from_secs(10.0),
+            drain_grace: Span::from_secs(2.0),
             initial_capacity: 0.2,
             slow_start_window: Span::from_secs(15.0),
             overload_limit: Some(3.0),
--- a/src/settings/validation.rs
+++ b/src/settings/validation.rs
@@ -60,6 +60,7 @@
         (is_positive_time(s.connect_timeout), "limits.connectTimeout", POSITIVE_TIME),
         (is_positive_time(s.max_watch_gap), "invariants.askWithin", POSITIVE_TIME),
         (is_positive_time(s.overload_window), "invariants.fall", POSITIVE_TIME),
+        (is_non_negative_time(s.drain_grace), "invariants.drainGrace", NON_NEGATIVE),
         (is_non_negative_time(s.slow_start_window), "invariants.warmUp", NON_NEGATIVE),
         (is_non_negative_time(s.max_retry_after), "limits.maxRetryAfter", NON_NEGATIVE),
         (initial_capacity_in_range, "invariants.coldFrom", "greater than 0 and at most 1"),
--- a/tests/policy/invariants/checker.rs
+++ b/tests/policy/invariants/checker.rs
@@ -71,6 +71,7 @@
                 }
             }
             Event::WatchFailed
+            | Event::WatchAnswered
             | Event::HealthCheckFinished { .. }
             | Event::ShutdownImminent { .. }
             | Event::TimerExpired { .. } => {}
