Show that a fleet overloads a cold endpoint that becomes the primary

A simulated fleet of 20, 182 and 600 poolers, whose group loses its primary and two replicas while another endpoint starts again. Strong reads queue at all poolers until the list names the cold endpoint as primary, 4.3 s after its start.

--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -15,3 +15,4 @@
 mod sessions;
 mod settings;
 mod slow_start;
+mod slow_start_failover;
