Let the budget tokens of endpoints in slow start expire

A cold database host fell over: it was sent more than it bears.

Cause: each pooler kept a token bucket for each cold endpoint, which held one token from the start and stayed full while it was not needed. A pooler of a large fleet earns less than a token in a window, so that the fleet's reserve was as many requests as there are poolers, whatever the endpoint bears. When all poolers need the endpoint at once (it is listed, becomes the primary, or can be reached again), they spend the reserve at once.

Change: a token expires 0.15 of an overload window after it was earned, and the first one is earned after a random part of the usual time, so that the poolers are out of step. All together they hold 0.15 of what they earn in a window. A pooler that knows no traffic at all may send one request, as before.

TokenBucket loses the two methods that only this budget used; their tests live on beside the new type.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -211,7 +211,7 @@
             self.health_checks.reset(endpoint);
         }
         for &endpoint in started.added.iter().chain(&started.restarted) {
-            self.slow_start.reset_budget(endpoint);
+            self.slow_start.start_budget(endpoint, &self.cluster, &mut self.rng);
         }
         for group in self.cluster.endpoints().group_ids() {
             self.update_primary(group);
--- a/src/policy/slow_start/mod.rs
+++ b/src/policy/slow_start/mod.rs
@@ -6,18 +6,21 @@
 //!
 //! - Sampling: each request has a random number that is drawn once, and only requests whose number is below a
 //!   share may be sent to the endpoint. This bounds the combined traffic even of hundreds of poolers.
-//! - A budget: a token bucket per endpoint, whose refill rate is the baseline traffic that this pooler would
-//!   send to the endpoint, times the overload limit and the current capacity. It also applies in a traffic
-//!   burst, in which the sampled share alone would be too much.
+//! - A budget for each endpoint, which is earned at the baseline traffic that this pooler would send to the
+//!   endpoint, times the overload limit and the current capacity. It also applies in a traffic burst, in which
+//!   the sampled share alone would be too much.
 
+mod budget;
 mod event_rate;
 
 use std::collections::BTreeMap;
 
+use fastrand::Rng;
+
 use crate::policy::cluster::{Cluster, EndpointKey, Group};
 use crate::policy::request::PendingRequest;
-use crate::policy::token_bucket::TokenBucket;
 use crate::time::{LocalInstant, Span};
+use budget::SlowStartBudget;
 use event_rate::EventRate;
 
 /// Largest share of the reads of its group for an endpoint in slow start, in multiples of its capacity.
@@ -30,11 +33,9 @@
 const BUDGET_SHARE_OF_LIMIT: f64 = 0.85;
 /// Overload limit from which refill rates are computed if the settings have none, or a higher one.
 const MAX_OVERLOAD_LIMIT: f64 = 1e6;
-/// Capacity of a budget beyond one token, as a share of its refill in one overload window.
-const BURST_SHARE: f64 = 0.1;
-/// Tokens in the budget of an endpoint that has just started, while the pooler knows no baseline traffic.
-/// With baseline traffic, a budget is full at its first use.
-const INITIAL_BUDGET: f64 = 1.0;
+/// Lifetime of a token, as a share of the overload window: what all poolers together may hold in reserve,
+/// beside what they earn in a window.
+const TOKEN_LIFETIME_SHARE: f64 = 0.15;
 /// Time constant of the baseline request rate: far longer than a burst.
 const BASELINE_TIME_CONSTANT: Span = Span::from_secs(60.0);
 /// Requests in a burst count towards the baseline rate at no more than this multiple of it, so that the
@@ -68,13 +69,13 @@
     /// Moving average of the fraction of requests that a replica may answer.
     read_fraction: f64,
     traffic: BTreeMap<u32, GroupTraffic>,
-    /// Budgets by endpoint. An endpoint without an entry has [`INITIAL_BUDGET`].
-    budgets: Vec<TokenBucket>,
+    /// Budgets of the endpoints that have started since this pooler knows them.
+    budgets: BTreeMap<EndpointKey, SlowStartBudget>,
 }
 
 impl SlowStart {
     pub(crate) fn new() -> SlowStart {
-        SlowStart { read_fraction: 1.0, traffic: BTreeMap::new(), budgets: Vec::new() }
+        SlowStart { read_fraction: 1.0, traffic: BTreeMap::new(), budgets: BTreeMap::new() }
     }
 
     /// Adds a received request to the traffic statistics of its group.
@@ -94,10 +95,11 @@
         self.traffic.retain(|group, _| cluster.group(*group).is_some());
     }
 
-    /// Resets the budget of an endpoint that was added or restarted to [`INITIAL_BUDGET`].
-    pub(crate) fn reset_budget(&mut self, endpoint: EndpointKey) {
-        if let Some(budget) = self.budgets.get_mut(endpoint) {
-            *budget = TokenBucket::full(INITIAL_BUDGET);
+    /// Starts the budget of an endpoint that was added or has restarted, if it is in slow start.
+    pub(crate) fn start_budget(&mut self, endpoint: EndpointKey, cluster: &Cluster, rng: &mut Rng) {
+        self.budgets.remove(&endpoint);
+        if capacity(endpoint, cluster) < 1.0 {
+            self.budgets.insert(endpoint, SlowStartBudget::new(cluster.now(), rng));
         }
     }
 
@@ -136,7 +138,7 @@
         cluster: &Cluster,
     ) -> bool {
         let is_sampled = request.context().sampling_value < share && !request.has_tried(to);
-        is_sampled && self.budget(to, cluster).has_token()
+        is_sampled && self.budget(to, cluster).is_some_and(|budget| budget.has_token())
     }
 
     /// Returns the share of the reads of a group that an endpoint in slow start may get, in multiples of its
@@ -154,27 +156,24 @@
         if capacity(to, cluster) >= 1.0 {
             return;
         }
-        let mut budget = self.budget(to, cluster);
-        budget.withdraw_allowing_debt();
-        if self.budgets.len() <= to {
-            self.budgets.resize(to + 1, TokenBucket::full(INITIAL_BUDGET));
+        if let Some(mut budget) = self.budget(to, cluster) {
+            budget.withdraw();
+            self.budgets.insert(to, budget);
         }
-        self.budgets[to] = budget;
     }
 
-    /// Returns the budget of an endpoint, refilled up to now; [`charge_budget`](Self::charge_budget) stores
-    /// it. The refill rate is this pooler's baseline traffic for the endpoint, times a share of the overload
-    /// limit and the current capacity.
-    fn budget(&self, endpoint: EndpointKey, cluster: &Cluster) -> TokenBucket {
+    /// Returns the budget of an endpoint, updated to now; [`charge_budget`](Self::charge_budget) stores it.
+    /// The rate is this pooler's baseline traffic for the endpoint, times a share of the overload limit and
+    /// the current capacity.
+    fn budget(&self, endpoint: EndpointKey, cluster: &Cluster) -> Option<SlowStartBudget> {
         let settings = cluster.settings();
         let limit = settings.overload_limit.map_or(MAX_OVERLOAD_LIMIT, |limit| limit.min(MAX_OVERLOAD_LIMIT));
         let baseline_rate =
             self.baseline_endpoint_rate(cluster.endpoint(endpoint).listing().group(), cluster);
         let per_second = limit * BUDGET_SHARE_OF_LIMIT * capacity(endpoint, cluster) * baseline_rate;
-        let bucket_capacity = 1.0 + per_second * settings.overload_window.as_secs() * BURST_SHARE;
-        let mut budget = self.budgets.get(endpoint).copied().unwrap_or(TokenBucket::full(INITIAL_BUDGET));
-        budget.refill_at_rate(per_second, bucket_capacity, cluster.now());
-        budget
+        let mut budget = *self.budgets.get(&endpoint)?;
+        budget.update(per_second, settings.overload_window * TOKEN_LIFETIME_SHARE, cluster.now());
+        Some(budget)
     }
 
     /// Returns the requests per second that an endpoint at its full capacity gets from this pooler at the
--- a/src/policy/token_bucket.rs
+++ b/src/policy/token_bucket.rs
@@ -44,14 +44,6 @@
         self
     }
 
-    /// Sets a new refill rate (tokens per second) and capacity, and adds the tokens due since the last refill
-    /// at the new rate.
-    pub(crate) fn refill_at_rate(&mut self, refill_rate: f64, capacity: f64, now: LocalInstant) {
-        self.refill_rate = refill_rate;
-        self.capacity = capacity;
-        self.refill(now);
-    }
-
     /// Returns `true` if the bucket contains at least one whole token.
     pub(crate) fn has_token(&self) -> bool {
         self.tokens >= 1.0
@@ -68,11 +60,6 @@
         self.tokens = (self.tokens - 1.0).max(0.0);
         had_token
     }
-
-    /// Withdraws a token unconditionally; the balance can become negative.
-    pub(crate) fn withdraw_allowing_debt(&mut self) {
-        self.tokens -= 1.0;
-    }
 }
 
 #[cfg(test)]
