Apply slow start to the trials of an ejected primary

A cold primary that all poolers have ejected was sent one trial by each of them at about the same time, whatever it bears: a trial asked neither the sampling nor the budget.

Change: a trial needs what any request to the primary needs.

The ends of ejections are jittered by a quarter of half a second, which is no longer than one overload window.

--- a/src/policy/primary/mod.rs
+++ b/src/policy/primary/mod.rs
@@ -46,7 +46,8 @@
 }
 
 /// Routes a request that only the primary can take. An ejected primary gets it if a trial is due. The request
-/// is queued while no primary is known, the primary is ejected, or its slow start does not admit the request.
+/// is queued while no primary is known, the primary is ejected, or its slow start does not admit the request,
+/// which applies to a trial as well.
 pub(crate) fn route(
     request: &PendingRequest,
     cluster: &Cluster,
@@ -56,12 +57,14 @@
     let group = cluster.group(request.group()).filter(|group| !group.members().is_empty());
     let group = group.ok_or(RouteError::GiveUp(GiveUpReason::NoEndpoint))?;
     let primary = group.primary().ok_or(RouteError::Queue)?;
-    if cluster.is_trial_due(primary) {
-        return Ok(primary);
-    }
-    if !cluster.is_healthy(primary) || !slow_start.admits_primary_request(request, primary, cluster) {
+    let is_trial_due = cluster.is_trial_due(primary);
+    let is_available = cluster.is_healthy(primary) || is_trial_due;
+    if !is_available || !slow_start.admits_primary_request(request, primary, cluster) {
         return Err(RouteError::Queue);
     }
+    if is_trial_due {
+        return Ok(primary);
+    }
     if !admission.admits(request, primary, OBJECTIVE_FACTOR, cluster) {
         return Err(RouteError::GiveUp(GiveUpReason::NoCapacity));
     }
--- a/tests/policy/slow_start.rs
+++ b/tests/policy/slow_start.rs
@@ -8,7 +8,7 @@
 use crate::harness::{
     default_settings, first_endpoint, primary, replica, secs, sent_endpoints, FinishedAttempt, Simulation,
     BOUNDED_READ, EVENTUAL_READ, KEYED_WRITE, LOCAL_REPLICA, LOCAL_ZONE, PRIMARY, REMOTE_REPLICA,
-    REMOTE_ZONE,
+    REMOTE_ZONE, STRONG_READ,
 };
 
 /// Remote replicas of the fleet tests, all at full capacity.
@@ -61,6 +61,29 @@
     );
 }
 
+/// Guards against trial requests that ignore slow start: all poolers of a fleet eject the primary together, and
+/// try it again together.
+#[test]
+fn the_trials_of_a_large_fleet_respect_the_capacity_of_an_ejected_primary_in_slow_start() {
+    let mut trials = 0;
+    for seed in 0..200 {
+        let settings = Settings { pooler_count: 200, overload_limit: Some(2.0), ..default_settings() };
+        let mut sim = Simulation::with_endpoints(settings, seed, |now| {
+            let started_at = Some(ClusterInstant::from_secs(now));
+            vec![Endpoint { started_at, ..primary(PRIMARY, LOCAL_ZONE) }, replica(LOCAL_REPLICA, LOCAL_ZONE)]
+        });
+        for _ in 0..3 {
+            sim.finish_health_check(PRIMARY, Outcome::ConnectFailed);
+        }
+        sim.advance_time(0.8);
+        trials += usize::from(sent_endpoints(&sim.request("trial", STRONG_READ)) == [PRIMARY]);
+    }
+    assert!(
+        (10..=70).contains(&trials),
+        "{trials} of 200 poolers tried a primary that is at a quarter of its capacity"
+    );
+}
+
 /// A read that was sent to the warming endpoint.
 struct WarmingRead {
     sent_at: f64,
