Let queued requests out gradually to a primary in slow start

Cause: `dispatch_queued` sent whatever slow start admits, and slow start knew the rate of requests but not that seconds of them come at once.

Change: while the primary is in slow start, a request that needs it leaves the queue with a probability that spreads the queue over the time it took to fill. So that a pooler with little traffic is not kept from a cold primary by tokens that expire, a request that only the primary can answer may borrow the next token, one for each pooler.

--- a/src/policy/cluster/group.rs
+++ b/src/policy/cluster/group.rs
@@ -5,7 +5,7 @@
 use crate::policy::cluster::EndpointKey;
 use crate::policy::primary::search::PrimarySearch;
 use crate::policy::request::RequestKey;
-use crate::time::LocalInstant;
+use crate::time::{LocalInstant, Span};
 
 /// One primary and its replicas.
 #[derive(Default)]
@@ -14,6 +14,8 @@
     primary: Option<EndpointKey>,
     /// Requests that cannot be sent yet, in the order in which they were queued.
     queue: VecDeque<RequestKey>,
+    /// When requests were last taken from the queue to be sent.
+    queue_dispatched_at: LocalInstant,
     search: PrimarySearch,
     last_request_at: LocalInstant,
 }
@@ -76,6 +78,11 @@
         self.queue.push_back(request);
     }
 
+    /// Records that requests of the queue are dispatched now. Returns the time since that was last done.
+    pub(crate) fn record_queue_dispatch(&mut self, now: LocalInstant) -> Span {
+        now - std::mem::replace(&mut self.queue_dispatched_at, now)
+    }
+
     /// Removes and returns all requests in the queue.
     pub(crate) fn take_queue(&mut self) -> VecDeque<RequestKey> {
         std::mem::take(&mut self.queue)
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -14,7 +14,7 @@
 
 /// Share of a request's timeout for which it may wait without reaching an endpoint. The rest leaves its
 /// client time to retry elsewhere.
-const QUEUE_TIME_SHARE: f64 = 0.5;
+pub(crate) const QUEUE_TIME_SHARE: f64 = 0.5;
 /// Largest time before the deadline, in ticks, at which an expired timer counts as the one for the final
 /// answer.
 const FINAL_TIMER_TOLERANCE_TICKS: f64 = 2.0;
--- a/src/policy/failover.rs
+++ b/src/policy/failover.rs
@@ -2,9 +2,13 @@
 //! queued meanwhile.
 
 use crate::interface::{Action, StateChange};
+use crate::policy::cluster::EndpointKey;
+use crate::policy::dispatch::QUEUE_TIME_SHARE;
 use crate::policy::endpoint::outlier_detection::MAX_EJECTION_TIME;
 use crate::policy::primary::{self, search};
+use crate::policy::request::RequestKey;
 use crate::policy::Policy;
+use crate::time::Span;
 
 /// Time without requests after which a group counts as idle, in multiples of the connect timeout. The log
 /// positions of idle groups are not refreshed.
@@ -30,12 +34,16 @@
     }
 
     fn dispatch_queued(&mut self, group_id: u32) {
+        let now = self.cluster.now();
         let Some(group) = self.cluster.endpoints_mut().group_mut(group_id) else { return };
         let primary = group.primary();
+        let elapsed = group.record_queue_dispatch(now);
         let mut still_queued = Vec::new();
         for key in group.take_queue() {
+            let release_share = self.queue_release_share(key, primary, elapsed);
+            let is_held_back = release_share < 1.0 && self.rng.f64() >= release_share;
             let Some(request) = self.requests.unfinished_mut(key) else { continue };
-            if primary::must_stay_queued(request, primary, &self.cluster) {
+            if is_held_back || primary::must_stay_queued(request, primary, &self.cluster) {
                 still_queued.push(key);
             } else {
                 request.leave_queue();
@@ -47,6 +55,18 @@
         }
     }
 
+    /// Returns the share of the requests like this one that slow start lets out of the queue now. Reads that a
+    /// replica may answer need not wait for the primary.
+    fn queue_release_share(&self, key: RequestKey, primary: Option<EndpointKey>, elapsed: Span) -> f64 {
+        let (Some(request), Some(primary)) = (self.requests.get(key), primary) else { return 1.0 };
+        let class = self.cluster.class(request.class());
+        if !class.needs_primary() {
+            return 1.0;
+        }
+        let queue_time = class.deadline * QUEUE_TIME_SHARE;
+        self.slow_start.queue_release_share(primary, elapsed, queue_time, &self.cluster)
+    }
+
     /// Takes the next step of the search for a lost primary if one is due and requests are queued. Where
     /// health checks are allowed, also refreshes log positions of the group.
     pub(crate) fn continue_primary_search(&mut self, group_id: u32) {
--- a/src/policy/slow_start/budget.rs
+++ b/src/policy/slow_start/budget.rs
@@ -2,8 +2,11 @@
 //!
 //! Tokens are earned at a rate and expire soon after. A pooler of a large fleet earns a token only now and
 //! then. If such tokens were kept, every pooler would hold one, and a moment at which all poolers need the
-//! endpoint, such as the election of a primary, would spend them at once. For the same reason the first token
-//! is earned after a random part of the time that each further one takes.
+//! endpoint, such as the end of a partition, would spend them at once. For the same reason the first token is
+//! earned after a random part of the time that each further one takes.
+//!
+//! A request that no other endpoint can answer may borrow the next token. Otherwise a pooler with little
+//! traffic would keep it waiting for seconds, although the fleet is far below its limit.
 
 use fastrand::Rng;
 
@@ -45,6 +48,12 @@
         self.permits_first_request || self.earned.floor() > self.used
     }
 
+    /// Returns `true` if a request is permitted that may borrow the next token. A budget that is already in
+    /// debt lends none.
+    pub(crate) fn has_or_lends_token(&self) -> bool {
+        self.permits_first_request || self.earned.floor() >= self.used
+    }
+
     /// Withdraws a token, or goes into debt if there is none.
     pub(crate) fn withdraw(&mut self) {
         self.permits_first_request = false;
--- a/src/policy/slow_start/budget/tests.rs
+++ b/src/policy/slow_start/budget/tests.rs
@@ -49,6 +49,17 @@
     assert!(!budget.has_token());
 }
 
+#[test]
+fn one_token_is_lent_until_it_is_repaid() {
+    let mut budget = budget(1);
+    budget.update(0.8, LIFETIME, at(100.01));
+    assert!(!budget.has_token() && budget.has_or_lends_token());
+    budget.withdraw();
+    assert!(!budget.has_or_lends_token());
+    budget.update(0.8, LIFETIME, at(101.3));
+    assert!(budget.has_or_lends_token());
+}
+
 #[test]
 fn a_debt_is_repaid_before_the_next_request() {
     let mut budget = budget(1);
--- a/src/policy/slow_start/mod.rs
+++ b/src/policy/slow_start/mod.rs
@@ -113,7 +113,9 @@
         cluster: &Cluster,
     ) -> bool {
         let capacity = capacity(to, cluster);
-        capacity >= 1.0 || self.admits_within_share(request, to, share * capacity, cluster)
+        capacity >= 1.0
+            || is_sampled(request, to, share * capacity)
+                && self.budget(to, cluster).is_some_and(|budget| budget.has_token())
     }
 
     /// Returns `true` if slow start admits a request that needs the primary to an endpoint. An endpoint in
@@ -127,18 +129,25 @@
         let capacity = capacity(to, cluster);
         let limit = cluster.settings().overload_limit.unwrap_or(f64::INFINITY);
         let share = limit * PRIMARY_SHARE_OF_LIMIT * capacity;
-        capacity >= 1.0 || self.admits_within_share(request, to, share, cluster)
+        capacity >= 1.0
+            || is_sampled(request, to, share)
+                && self.budget(to, cluster).is_some_and(|budget| budget.has_or_lends_token())
     }
 
-    fn admits_within_share(
+    /// Returns the share of the requests queued for the primary that may be sent to it now, if `elapsed` has
+    /// passed since the last of them were. All poolers learn of a new primary at about the same time, so that
+    /// what has been queued for seconds must not be sent at once while the primary is in slow start.
+    pub(crate) fn queue_release_share(
         &self,
-        request: &PendingRequest,
-        to: EndpointKey,
-        share: f64,
+        primary: EndpointKey,
+        elapsed: Span,
+        queue_time: Span,
         cluster: &Cluster,
-    ) -> bool {
-        let is_sampled = request.context().sampling_value < share && !request.has_tried(to);
-        is_sampled && self.budget(to, cluster).is_some_and(|budget| budget.has_token())
+    ) -> f64 {
+        if capacity(primary, cluster) >= 1.0 || queue_time <= Span::ZERO {
+            return 1.0;
+        }
+        elapsed / queue_time
     }
 
     /// Returns the share of the reads of a group that an endpoint in slow start may get, in multiples of its
@@ -151,7 +160,6 @@
     }
 
     /// Charges a request to the budget of the endpoint that it is sent to, if the endpoint is in slow start.
-    /// The trial request of an ejected primary is charged too, although it is sent even without a token.
     pub(crate) fn charge_budget(&mut self, to: EndpointKey, cluster: &Cluster) {
         if capacity(to, cluster) >= 1.0 {
             return;
@@ -188,6 +196,11 @@
     }
 }
 
+/// Returns `true` if a request is among a share of all requests, and was not sent to the endpoint before.
+fn is_sampled(request: &PendingRequest, to: EndpointKey, share: f64) -> bool {
+    request.context().sampling_value < share && !request.has_tried(to)
+}
+
 /// Returns the current capacity of an endpoint, as a share of its full capacity.
 fn capacity(endpoint: EndpointKey, cluster: &Cluster) -> f64 {
     let uptime = cluster.endpoint(endpoint).listing().min_uptime(cluster.clock(), cluster.now());
