--- a/tests/loopback/harness/discovery.rs
+++ b/tests/loopback/harness/discovery.rs
@@ -109,20 +109,15 @@
         self.next_watch().expect("the pooler opened no watch")
     }
 
-    /// Accepts the next watch and reads the head of its request. Returns `None` if there is no watch within
-    /// [`EVENT_TIMEOUT`], or if its connection fails.
+    /// Accepts the next watch and reads the head of its request. Skips connections that fail before. Returns
+    /// `None` if there is no watch within [`EVENT_TIMEOUT`].
     pub fn next_watch(&self) -> Option<Watch> {
-        let (mut stream, _) = self.listener.accept().ok()?;
-        stream.set_read_timeout(Some(EVENT_TIMEOUT)).unwrap();
-        stream.set_nodelay(true).unwrap();
-        let mut head = Vec::new();
-        let mut byte = [0];
-        while !head.ends_with(b"\r\n\r\n") {
-            stream.read_exact(&mut byte).ok()?;
-            head.push(byte[0]);
+        loop {
+            let (stream, _) = self.listener.accept().ok()?;
+            if let Some(watch) = Watch::read_request(stream) {
+                return Some(watch);
+            }
         }
-        let head = String::from_utf8(head).unwrap();
-        Some(Watch { stream, request_line: head.lines().next().unwrap().to_string() })
     }
 }
 
@@ -135,6 +130,20 @@
 }
 
 impl Watch {
+    /// Reads the head of the request. Returns `None` if the connection fails before.
+    fn read_request(mut stream: TcpStream) -> Option<Watch> {
+        stream.set_read_timeout(Some(EVENT_TIMEOUT)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        let mut head = Vec::new();
+        let mut byte = [0];
+        while !head.ends_with(b"\r\n\r\n") {
+            stream.read_exact(&mut byte).ok()?;
+            head.push(byte[0]);
+        }
+        let head = String::from_utf8(head).unwrap();
+        Some(Watch { stream, request_line: head.lines().next().unwrap().to_string() })
+    }
+
     pub fn send(&mut self, bytes: &[u8]) {
         self.stream.write_all(bytes).unwrap();
     }
--- a/tests/loopback/soak/mod.rs
+++ b/tests/loopback/soak/mod.rs
@@ -19,7 +19,7 @@
 use crate::harness::*;
 use attempts::AttemptLog;
 use client::{ClientThread, Counts};
-use discovery::SoakDiscovery;
+use discovery::{CallsDuringOutage, SoakDiscovery};
 use host::SoakHost;
 use violations::Violations;
 
@@ -40,6 +40,8 @@
 const EXCUSED_WINDOW: Duration = Duration::from_millis(700);
 /// How long hosts hang during a shutdown: longer than the time from SIGTERM to SIGKILL.
 const SHUTDOWN_HANG: Duration = Duration::from_secs(6);
+/// The longest outage of discovery.
+const MAX_OUTAGE: Duration = Duration::from_millis(1500);
 /// The longest deadline in [`SETTINGS`].
 const LONGEST_DEADLINE: Duration = Duration::from_secs(4);
 /// Longer deadlines do not delay the kill any further.
@@ -175,24 +177,35 @@
     counts
 }
 
-/// Injects overlapping faults of hosts and discovery for about two seconds, with some reloads.
+/// Injects overlapping faults of hosts and discovery for a few seconds, with some reloads and outages.
 fn inject_faults(pooler: &Pooler, hosts: &[SoakHost], discovery: &SoakDiscovery, random: &mut fastrand::Rng) {
     for _ in 0..8 {
         let host = &hosts[random.usize(..hosts.len())];
-        match random.u32(..6) {
+        match random.u32(..7) {
             0 => host.hang(random_duration(random, Duration::from_millis(600))),
             1 => host.reset_queries(random.u32(1..5)),
             2 => host.reject_queries(random.u32(1..10)),
             3 => host.delay_startups(random_duration(random, Duration::from_millis(300))),
             // The primary is never drained: the rule on drains is checked on replicas.
             4 => discovery.toggle_drain(hosts[random.usize(1..hosts.len())].listed().name),
-            _ => discovery.switch_address_and_reload(pooler),
+            5 => discovery.switch_address_and_reload(pooler),
+            _ => interrupt_discovery(hosts, discovery, random),
         }
         std::thread::sleep(random_duration(random, Duration::from_millis(500)));
     }
     hosts.iter().for_each(SoakHost::recover);
 }
 
+/// Interrupts discovery for a while. Hosts begin or cease to drain meanwhile.
+fn interrupt_discovery(hosts: &[SoakHost], discovery: &SoakDiscovery, random: &mut fastrand::Rng) {
+    discovery.begin_outage();
+    std::thread::sleep(random_duration(random, MAX_OUTAGE));
+    discovery.toggle_drain(hosts[random.usize(1..hosts.len())].listed().name);
+    let calls =
+        if random.bool() { CallsDuringOutage::AnsweredAtReturn } else { CallsDuringOutage::NeverAnswered };
+    discovery.end_outage(calls);
+}
+
 /// Ends a process by SIGTERM, followed by further signals, and by SIGKILL at the earliest permitted time.
 /// Starts and returns the next process, to which clients connect from [`HANDOVER_DELAY`] on.
 fn restart(pooler: Pooler, run: &Run, start: impl Fn() -> Pooler, random: &mut fastrand::Rng) -> Pooler {
