--- a/tests/loopback/soak/discovery.rs
+++ b/tests/loopback/soak/discovery.rs
@@ -11,9 +11,9 @@
 const OLD_ADDRESS_GRACE: Duration = Duration::from_millis(1500);
 /// Time after a reload from which on the pooler counts as told what the service at the new address knows.
 const RELOAD_LIMIT: Duration = Duration::from_secs(4);
-/// Time after a drain is told within which queries to the host must stop: the default grace, and the tolerance
-/// of the protocol.
-const DRAIN_LIMIT: Duration = Duration::from_millis(2050);
+/// Time after a drain is told within which queries to the host must stop: the grace in the settings of the
+/// soak, and the tolerance of the protocol.
+const DRAIN_LIMIT: Duration = Duration::from_millis(1050);
 
 /// The drain of a host.
 #[derive(Clone, Copy)]
--- a/tests/loopback/soak/mod.rs
+++ b/tests/loopback/soak/mod.rs
@@ -41,14 +41,15 @@
 /// How long hosts hang during a shutdown: longer than the time from SIGTERM to SIGKILL.
 const SHUTDOWN_HANG: Duration = Duration::from_secs(6);
 /// The longest outage of discovery.
-const MAX_OUTAGE: Duration = Duration::from_millis(1500);
+const MAX_OUTAGE: Duration = Duration::from_secs(4);
 /// The longest deadline in [`SETTINGS`].
 const LONGEST_DEADLINE: Duration = Duration::from_secs(4);
 /// Longer deadlines do not delay the kill any further.
 const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
 
-/// Settings with short deadlines, a non-idempotent class and a deduplication window of half a second.
-const SETTINGS: [Edit; 7] = [
+/// Settings with short deadlines, a non-idempotent class, a deduplication window of half a second and a drain
+/// grace of a second.
+const SETTINGS: [Edit; 8] = [
     Edit { from: r#""aim":8,"deadline":9"#, to: r#""aim":0.5,"deadline":1"# },
     Edit {
         from: r#""name":"reports","aim":0.5,"deadline":1"#,
@@ -64,6 +65,7 @@
         to: r#""name":"once","aim":0.5,"deadline":1,"effect":"non_idempotent""#,
     },
     Edit { from: r#""connectTimeout":1"#, to: r#""connectTimeout":0.25"# },
+    Edit { from: r#""invariants":{"#, to: r#""invariants":{"drainGrace":1,"# },
     Edit { from: r#"["bounded","session","any","write"]"#, to: r#"["bounded","write","any","write"]"# },
 ];
 const HEDGING: Edit = Edit { from: r#""probes":false"#, to: r#""probes":false,"mayDuplicate":true"# };
