--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -20,4 +20,5 @@
 mod malformed_responses;
 mod routing;
 mod shutdown_and_reload;
+mod slow_start;
 mod soak;
