--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -37,7 +37,8 @@
     budget: MemoryBudget,
     /// The version of the last received list.
     list_version: u64,
-    /// The last error; cleared when a list or heartbeat is received. An equal error is not logged as a warning again.
+    /// The last error; cleared when a list or heartbeat is received. An equal error is not logged as a
+    /// warning again.
     last_error: Option<WatchError>,
 }
 
--- a/src/policy/failover.rs
+++ b/src/policy/failover.rs
@@ -55,8 +55,8 @@
         }
     }
 
-    /// Returns the share of the requests like this one that slow start lets out of the queue now. Reads that a
-    /// replica may answer need not wait for the primary.
+    /// Returns the share of the requests like this one that slow start lets out of the queue now. Reads that
+    /// a replica may answer need not wait for the primary.
     fn queue_release_share(&self, key: RequestKey, primary: Option<EndpointKey>, elapsed: Span) -> f64 {
         let (Some(request), Some(primary)) = (self.requests.get(key), primary) else { return 1.0 };
         let class = self.cluster.class(request.class());
--- a/src/policy/slow_start/budget.rs
+++ b/src/policy/slow_start/budget.rs
@@ -30,8 +30,8 @@
         SlowStartBudget { earned: rng.f64(), used: 0.0, updated_at: now, permits_first_request: true }
     }
 
-    /// Adds the tokens earned at this rate since the last update, and removes those that were earned more than
-    /// `lifetime` ago. A rate of 0 means that it is not known yet.
+    /// Adds the tokens earned at this rate since the last update, and removes those that were earned more
+    /// than `lifetime` ago. A rate of 0 means that it is not known yet.
     pub(crate) fn update(&mut self, per_second: f64, lifetime: Span, now: LocalInstant) {
         let elapsed = (now - self.updated_at).max(Span::ZERO);
         self.updated_at = now;
--- a/src/policy/slow_start/mod.rs
+++ b/src/policy/slow_start/mod.rs
@@ -7,8 +7,11 @@
 //! - Sampling: each request has a random number that is drawn once, and only requests whose number is below a
 //!   share may be sent to the endpoint. This bounds the combined traffic even of hundreds of poolers.
 //! - A budget for each endpoint, which is earned at the baseline traffic that this pooler would send to the
-//!   endpoint, times the overload limit and the current capacity. It also applies in a traffic burst, in which
-//!   the sampled share alone would be too much.
+//!   endpoint, times the overload limit and the current capacity. It also applies in a traffic burst, in
+//!   which the sampled share alone would be too much.
+//!
+//! A queue that has filled while its group had no primary is let out gradually, see
+//! [`SlowStart::queue_release_share`].
 
 mod budget;
 mod event_rate;
