Keep one status for each pooled endpoint, and one answering host for tests

What earlier work left: two flags of the pool (removed, serving) that only had three of their four values are the listed status; `EndpointState` no longer passes reports on to `Replication`, which is reached as `listing_mut` is; and the tests of outages and of slow start share `DatabaseHost::answer_queries`.

No behaviour changes.

--- a/src/net/backend/pool.rs
+++ b/src/net/backend/pool.rs
@@ -23,10 +23,8 @@
     started_at: Option<ClusterInstant>,
     /// When an update last contained the endpoint, with any status.
     last_listed_at: Instant,
-    /// Whether the endpoint was removed from the endpoint list.
-    is_removed: bool,
-    /// Whether the endpoint is listed as serving.
-    is_serving: bool,
+    /// The status in the endpoint list.
+    status: EndpointStatus,
     /// Idle connections, most recently used last.
     idle: Vec<ConnectionId>,
 }
@@ -37,12 +35,15 @@
             address: listed.address,
             started_at: listed.started_at,
             last_listed_at: now,
-            is_removed: false,
-            is_serving: true,
+            status: listed.status,
             idle: Vec::new(),
         }
     }
 
+    fn is_removed(&self) -> bool {
+        self.status == EndpointStatus::Removed
+    }
+
     fn close_idle_connections(
         &mut self,
         reason: CloseReason,
@@ -92,19 +93,19 @@
     }
 
     fn serving_endpoints(&self) -> HashSet<EndpointId> {
-        let serving = self.endpoints.iter().filter(|(_, endpoint)| endpoint.is_serving);
+        let serving =
+            self.endpoints.iter().filter(|(_, endpoint)| endpoint.status == EndpointStatus::Serving);
         serving.map(|(name, _)| name.clone()).collect()
     }
 
     fn mark_all_removed(&mut self) {
         for endpoint in self.endpoints.values_mut() {
-            endpoint.is_removed = true;
-            endpoint.is_serving = false;
+            endpoint.status = EndpointStatus::Removed;
         }
     }
 
     fn close_idle_connections_to_removed(&mut self) {
-        for endpoint in self.endpoints.values_mut().filter(|endpoint| endpoint.is_removed) {
+        for endpoint in self.endpoints.values_mut().filter(|endpoint| endpoint.is_removed()) {
             endpoint.close_idle_connections(CloseReason::EndpointRemoved, &mut self.connections);
         }
     }
@@ -113,7 +114,7 @@
     fn forget_removed(&mut self, now: Instant) {
         self.endpoints.retain(|_, endpoint| {
             let unlisted = now.saturating_duration_since(endpoint.last_listed_at);
-            !endpoint.is_removed || unlisted < REMOVED_ENDPOINT_RETENTION
+            !endpoint.is_removed() || unlisted < REMOVED_ENDPOINT_RETENTION
         });
     }
 
@@ -127,8 +128,7 @@
         endpoint.address = listed.address;
         endpoint.started_at = listed.started_at;
         endpoint.last_listed_at = now;
-        endpoint.is_removed = listed.status == EndpointStatus::Removed;
-        endpoint.is_serving = listed.status == EndpointStatus::Serving;
+        endpoint.status = listed.status;
         if connections_are_stale {
             self.close_idle_connections(&listed.name, CloseReason::EndpointChanged);
         }
@@ -176,7 +176,7 @@
             .endpoints
             .get_mut(connection.endpoint())
             .filter(|_| connection.has_empty_buffers())
-            .filter(|endpoint| !endpoint.is_removed && endpoint.address == connection.address())
+            .filter(|endpoint| !endpoint.is_removed() && endpoint.address == connection.address())
             .filter(|endpoint| endpoint.idle.len() < MAX_IDLE_PER_ENDPOINT);
         match endpoint {
             Some(endpoint) => endpoint.idle.push(id),
--- a/src/policy/cluster/mod.rs
+++ b/src/policy/cluster/mod.rs
@@ -65,7 +65,8 @@
             }
         }
         let report = LoadReport { log_position: result.log_position, role: result.role };
-        self.endpoints[endpoint].update_from_report(&report, ReportAge::Current, &self.clock, self.now);
+        let replication = self.endpoints[endpoint].replication_mut();
+        replication.update_from_report(&report, ReportAge::Current, &self.clock, self.now);
     }
 
     /// Updates an endpoint and the endpoints' clock from a load report of unknown age.
@@ -73,7 +74,8 @@
         if let Some(position) = report.log_position {
             self.clock.observe_past_time(position, self.now);
         }
-        self.endpoints[endpoint].update_from_report(report, ReportAge::Unknown, &self.clock, self.now);
+        let replication = self.endpoints[endpoint].replication_mut();
+        replication.update_from_report(report, ReportAge::Unknown, &self.clock, self.now);
     }
 
     pub(crate) fn settings(&self) -> &Settings {
--- a/src/policy/endpoint/mod.rs
+++ b/src/policy/endpoint/mod.rs
@@ -8,8 +8,7 @@
 
 use fastrand::Rng;
 
-use crate::interface::{Endpoint, EndpointId, EndpointStatus, LoadReport, Outcome, StateChange, UpdateKind};
-use crate::policy::cluster::ClusterClock;
+use crate::interface::{Endpoint, EndpointId, EndpointStatus, Outcome, StateChange, UpdateKind};
 use crate::time::{LocalInstant, Span};
 use evidence::{Evidence, HealthEvidence};
 pub(crate) use listing::{Listing, Restart};
@@ -50,17 +49,6 @@
         restart
     }
 
-    /// Updates role and log position from a report of the endpoint about itself.
-    pub(crate) fn update_from_report(
-        &mut self,
-        report: &LoadReport,
-        age: ReportAge,
-        clock: &ClusterClock,
-        now: LocalInstant,
-    ) {
-        self.replication.update_from_report(report, age, clock, now);
-    }
-
     /// Returns the newest claim that this endpoint is the primary, made by the endpoint itself or by the
     /// endpoint list. The roles in the list are assumed to be `list_age` old.
     pub(crate) fn primary_claim(&self, list_age: Span) -> Option<PrimaryClaim> {
@@ -151,6 +139,10 @@
         &self.replication
     }
 
+    pub(crate) fn replication_mut(&mut self) -> &mut Replication {
+        &mut self.replication
+    }
+
     pub(crate) fn health(&self) -> &OutlierDetector {
         &self.health
     }
--- a/src/policy/endpoint/tests.rs
+++ b/src/policy/endpoint/tests.rs
@@ -1,5 +1,7 @@
 use super::*;
+use crate::interface::LoadReport;
 use crate::interface::Role;
+use crate::policy::cluster::ClusterClock;
 use crate::time::tests::{at, cluster_at, secs};
 
 /// A clock that the pooler shares with the endpoints.
@@ -16,7 +18,12 @@
 #[test]
 fn a_listed_role_counts_only_if_it_is_newer_than_the_reported_one() {
     let mut endpoint = endpoint();
-    endpoint.update_from_report(&report(10.0, Role::Replica), ReportAge::Current, &CLOCK, at(10.0));
+    endpoint.replication_mut().update_from_report(
+        &report(10.0, Role::Replica),
+        ReportAge::Current,
+        &CLOCK,
+        at(10.0),
+    );
     let entry = Endpoint { id: "db-1".into(), role: Role::Primary, ..Endpoint::default() };
     endpoint.apply_list_entry(UpdateKind::Delta, &entry, at(12.0));
     assert_eq!(endpoint.primary_claim(secs(5.0)), None);
--- a/src/policy/freshness/tests.rs
+++ b/src/policy/freshness/tests.rs
@@ -17,7 +17,12 @@
     let mut endpoint = EndpointState::new("replica".into(), 0, 0);
     let report = LoadReport { log_position: Some(position(log_position)), role: Some(Role::Replica) };
     let clock = cluster(reported_at, StaleReadHandling::Reject);
-    endpoint.update_from_report(&report, ReportAge::Current, clock.clock(), at(reported_at));
+    endpoint.replication_mut().update_from_report(
+        &report,
+        ReportAge::Current,
+        clock.clock(),
+        at(reported_at),
+    );
     endpoint
 }
 
--- a/tests/loopback/discovery_outages.rs
+++ b/tests/loopback/discovery_outages.rs
@@ -2,7 +2,6 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
@@ -32,28 +31,6 @@
     DuringUnconnectedCall,
 }
 
-/// Starts a host that answers each query with `value`, and records when it received the last one.
-fn start_answering_host(value: &'static [u8]) -> (EndpointEntry, Arc<Mutex<Option<Instant>>>) {
-    let host = DatabaseHost::new();
-    let entry = host.entry("s-1", "here");
-    let last_query_at: Arc<Mutex<Option<Instant>>> = Arc::default();
-    let recorded = last_query_at.clone();
-    std::thread::spawn(move || {
-        while let Some(mut connection) = host.next_connection() {
-            let recorded = recorded.clone();
-            std::thread::spawn(move || {
-                connection.receive_startup();
-                connection.complete_startup();
-                while connection.receive().is_some() {
-                    *recorded.lock().unwrap() = Some(Instant::now());
-                    connection.send_result(value, Role::Reader);
-                }
-            });
-        }
-    });
-    (entry, last_query_at)
-}
-
 /// Answers every call that `listener` accepts from now on with the list.
 fn answer_calls(listener: TcpListener, list: &EndpointList) {
     let response = [CHUNKED_HEAD.as_bytes(), &chunk(format!("{list}\n").as_bytes())].concat();
@@ -171,9 +148,10 @@
     end: OutageEnd,
     #[values("0.3", "2")] grace: &str,
 ) {
-    let (draining, last_query_at) = start_answering_host(FROM_DRAINING_HOST);
-    let (other, _) = start_answering_host(FROM_OTHER_HOST);
-    let other = EndpointEntry { name: "s-2".into(), zone: "there".into(), ..other };
+    let (draining_host, other_host) = (DatabaseHost::new(), DatabaseHost::new());
+    let (draining, other) = (draining_host.entry("s-1", "here"), other_host.entry("s-2", "there"));
+    let received_at = draining_host.answer_queries(FROM_DRAINING_HOST, Role::Reader, Duration::ZERO);
+    other_host.answer_queries(FROM_OTHER_HOST, Role::Reader, Duration::ZERO);
     let list = EndpointList::update(42, [draining.clone().with_status("DRAINING")]);
     let known = EndpointList::snapshot(41, [draining, other]);
     let grace_setting = format!(r#""invariants":{{"drainGrace":{grace},"#);
@@ -192,7 +170,7 @@
         }
     }
     let grace = Duration::from_secs_f64(grace.parse().unwrap());
-    let last_query_at = last_query_at.lock().unwrap().unwrap_or(told_at);
+    let last_query_at = received_at.lock().unwrap().last().copied().unwrap_or(told_at);
     let late = last_query_at.saturating_duration_since(told_at);
     assert!(late <= grace + TIME_LIMIT_TOLERANCE, "a query was sent {late:?} after the drain was told");
 }
--- a/tests/loopback/harness/database_host.rs
+++ b/tests/loopback/harness/database_host.rs
@@ -1,7 +1,10 @@
 //! Scripted database hosts.
 
 use std::io::Read;
+use std::io::Write;
 use std::net::{Shutdown, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use super::wire::{encode_message, message_type, ready_for_query, result_response, Role};
 use super::{listen_on_loopback, Connection, EndpointEntry};
@@ -33,6 +36,25 @@
         }
     }
 
+    /// Answers every query with `value` after `service_time`, in the background. Returns the instants at which
+    /// queries are received.
+    pub fn answer_queries(
+        self,
+        value: &'static [u8],
+        role: Role,
+        service_time: Duration,
+    ) -> Arc<Mutex<Vec<Instant>>> {
+        let received_at: Arc<Mutex<Vec<Instant>>> = Arc::default();
+        let recorded = received_at.clone();
+        std::thread::spawn(move || {
+            while let Some(connection) = self.next_connection() {
+                let recorded = recorded.clone();
+                std::thread::spawn(move || answer_queries(connection, value, role, service_time, &recorded));
+            }
+        });
+        received_at
+    }
+
     /// Closes the listener immediately. Dropping the host may close it later, see [`Connection::close`].
     pub fn close(self) {
         socket2::SockRef::from(&self.listener).shutdown(Shutdown::Both).unwrap();
@@ -71,6 +93,25 @@
     [authentication_ok, ready_for_query()].concat()
 }
 
+/// Answers the queries of one connection until the pooler closes it.
+fn answer_queries(
+    mut connection: Connection,
+    value: &[u8],
+    role: Role,
+    service_time: Duration,
+    received_at: &Mutex<Vec<Instant>>,
+) {
+    connection.receive_startup();
+    connection.complete_startup();
+    while connection.receive().is_some() {
+        received_at.lock().unwrap().push(Instant::now());
+        std::thread::sleep(service_time);
+        if connection.stream.write_all(&result_response(value, role)).is_err() {
+            return;
+        }
+    }
+}
+
 impl Connection {
     /// Receives the startup message.
     pub fn receive_startup(&mut self) {
--- a/tests/loopback/slow_start.rs
+++ b/tests/loopback/slow_start.rs
@@ -35,32 +35,6 @@
     },
 ];
 
-/// Starts a host that answers as the primary after `service_time`. Returns its entry, and the instants at which
-/// it receives queries.
-fn start_primary(name: &str, service_time: Duration) -> (EndpointEntry, Arc<Mutex<Vec<Instant>>>) {
-    let host = DatabaseHost::new();
-    let entry = host.entry(name, "here");
-    let received_at: Arc<Mutex<Vec<Instant>>> = Arc::default();
-    let recorded = received_at.clone();
-    std::thread::spawn(move || {
-        while let Some(mut connection) = host.next_connection() {
-            let recorded = recorded.clone();
-            std::thread::spawn(move || {
-                connection.receive_startup();
-                connection.complete_startup();
-                while connection.receive().is_some() {
-                    recorded.lock().unwrap().push(Instant::now());
-                    std::thread::sleep(service_time);
-                    if connection.stream.write_all(&result_response(BINARY_VALUE, Role::Writer)).is_err() {
-                        return;
-                    }
-                }
-            });
-        }
-    });
-    (entry, received_at)
-}
-
 /// A discovery service that sends each list to all open watches.
 #[derive(Clone)]
 struct Publisher {
@@ -125,8 +99,10 @@
 
 #[test]
 fn queries_queued_at_a_fleet_do_not_overload_a_host_that_becomes_the_primary_just_after_its_start() {
-    let (old, _) = start_primary("s-1", SERVICE_TIME);
-    let (new, received_at) = start_primary("s-2", Duration::ZERO);
+    let (old_host, new_host) = (DatabaseHost::new(), DatabaseHost::new());
+    let (old, new) = (old_host.entry("s-1", "here"), new_host.entry("s-2", "here"));
+    old_host.answer_queries(BINARY_VALUE, Role::Writer, SERVICE_TIME);
+    let received_at = new_host.answer_queries(BINARY_VALUE, Role::Writer, Duration::ZERO);
     let publisher = Publisher::start();
     let known =
         EndpointList::snapshot(41, [old.clone().with_access("writer"), new.clone().with_access("reader")]);
