Cancel a slow read for a retry only if another endpoint is left

Callers saw reads rejected with "no usable endpoint" while their attempt was still in flight.

Cause: an overdue attempt was cancelled for a retry without a look whether the read can be sent anywhere else; each endpoint gets a read once, so that with the last one cancelled nothing is left but the rejection. Evidence: "attempt ended request=243 attempt=0 endpoint=s-2 outcome=Cancelled elapsed=2.312908ms", "request rejected request=243 reason=no usable endpoint", on a pooler with two hosts of which one had begun to drain.

--- a/src/policy/retry/mod.rs
+++ b/src/policy/retry/mod.rs
@@ -29,7 +29,7 @@
 
 use crate::interface::{AttemptDenied, GiveUpReason, Outcome};
 use crate::policy::admission::LatencyEstimator;
-use crate::policy::cluster::Cluster;
+use crate::policy::cluster::{Cluster, EndpointKey};
 use crate::policy::overdue::OverdueCause;
 use crate::policy::request::PendingRequest;
 use crate::settings::{Consistency, DeduplicationScope, Idempotency, RequestClass, Settings};
@@ -173,6 +173,17 @@
     may_cancel.then_some(Replacement::CancelAndRetry)
 }
 
+/// Returns `true` if a retry could be sent: a read is sent to each endpoint once, and other requests to the
+/// primary again.
+pub(crate) fn has_endpoint_for_retry(request: &PendingRequest, cluster: &Cluster) -> bool {
+    if cluster.class(request.class()).needs_primary() {
+        return true;
+    }
+    let Some(group) = cluster.group(request.group()) else { return false };
+    let is_untried = |endpoint: EndpointKey| !request.has_tried(endpoint);
+    cluster.usable_endpoints(group).any(is_untried)
+}
+
 /// Returns `true` if a replacement could be answered in time. Only a lost answer is replaced after the
 /// latency objective has expired, since any other answer may still arrive.
 fn has_time_to_replace(
