Count request rates from when a group is known

A cold host can be sent more than it bears by poolers that have just started.

Cause: a rate was averaged over the time since its first event, so that the first requests of each pooler looked like a high rate, and no rate at all was known at the first one, for which a request is let through. Over a fleet that starts in a burst, these first requests add up.

Change: the time counts from when the group is known, so that the rates of many poolers with few events add up to the rate of all, from the first request on.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -157,7 +157,7 @@
         self.request_watch_if_due();
         self.handle_overdue_attempts();
         self.cluster.endpoints_mut().remove_empty_groups();
-        self.slow_start.remove_unknown_groups(&self.cluster);
+        self.slow_start.update_groups(&self.cluster);
         let horizon = now - self.cluster.settings().max_watch_gap * REMOVED_ENDPOINT_RETENTION;
         for group in self.cluster.endpoints().group_ids() {
             self.cluster.endpoints_mut().purge_removed(group, horizon);
@@ -207,6 +207,7 @@
             self.watch_answered();
         }
         let started = self.cluster.apply_list_update(kind, entries);
+        self.slow_start.update_groups(&self.cluster);
         for &endpoint in &started.added {
             self.health_checks.reset(endpoint);
         }
--- a/src/policy/slow_start/mod.rs
+++ b/src/policy/slow_start/mod.rs
@@ -48,13 +48,17 @@
 const READ_FRACTION_SAMPLE_WEIGHT: f64 = 0.02;
 
 /// Rates of the requests received for a group.
-#[derive(Default)]
 struct GroupTraffic {
     current_rate: EventRate,
     baseline_rate: EventRate,
 }
 
 impl GroupTraffic {
+    /// Starts to count the requests for a group that has become known.
+    fn starting_at(now: LocalInstant) -> GroupTraffic {
+        GroupTraffic { current_rate: EventRate::starting_at(now), baseline_rate: EventRate::starting_at(now) }
+    }
+
     /// Counts a request. The rates are computed before the request is added, because including it would make
     /// them too high where requests are rare.
     fn record(&mut self, now: LocalInstant, overload_window: Span) {
@@ -88,14 +92,16 @@
         let (now, overload_window) = (cluster.now(), cluster.settings().overload_window);
         if let Some(traffic) = self.traffic.get_mut(&group) {
             traffic.record(now, overload_window);
-        } else if cluster.group(group).is_some() {
-            self.traffic.entry(group).or_default().record(now, overload_window);
         }
     }
 
-    /// Removes the traffic statistics of groups that no longer exist.
-    pub(crate) fn remove_unknown_groups(&mut self, cluster: &Cluster) {
+    /// Starts the traffic statistics of groups that have become known, and removes those of groups that no
+    /// longer exist.
+    pub(crate) fn update_groups(&mut self, cluster: &Cluster) {
         self.traffic.retain(|group, _| cluster.group(*group).is_some());
+        for group in cluster.endpoints().group_ids() {
+            self.traffic.entry(group).or_insert_with(|| GroupTraffic::starting_at(cluster.now()));
+        }
     }
 
     /// Starts the budget of an endpoint that was added or has restarted, if it is in slow start.
--- a/tests/policy/slow_start_failover.rs
+++ b/tests/policy/slow_start_failover.rs
@@ -1,5 +1,5 @@
-//! Slow start of an endpoint that becomes the primary of its group while it warms up, in a fleet of poolers
-//! that have requests queued for the lost primary.
+//! Slow start in a fleet of poolers that all turn to a warming endpoint at the same time: it becomes the
+//! primary for which requests are queued, or the poolers have just started.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -23,6 +23,8 @@
 
 /// Requests per second that the whole fleet receives.
 const FLEET_RATE: f64 = 180.0;
+/// The requests of a burst, in multiples of the usual requests.
+const BURST: f64 = 3.0;
 /// Share of strong reads among them, which only the primary may answer. Any endpoint may answer the others.
 const STRONG_READ_SHARE: f64 = 0.22;
 /// Requests per second that an endpoint serves at its full capacity: the load of the group is two thirds of the
@@ -61,8 +63,12 @@
     attempts: HashMap<String, usize>,
     unanswered: VecDeque<ReceivedAttempt>,
     random: fastrand::Rng,
+    /// Requests per second, of which this share are strong reads.
+    rate: f64,
+    strong_read_share: f64,
     requests: usize,
-    /// When the new primary received each attempt, in seconds after the start.
+    /// The warming endpoint, and when it received each attempt, in seconds after the start.
+    warming: &'static str,
     received_at: Vec<f64>,
     /// The number of strong reads that the new primary has answered.
     strong_reads_served: usize,
@@ -70,7 +76,7 @@
 }
 
 impl Fleet {
-    fn new(settings: &Settings, seed: u64) -> Fleet {
+    fn new(settings: &Settings, warming: &'static str, seed: u64) -> Fleet {
         let pooler = |number: u32| {
             Simulation::with_endpoints(settings.clone(), seed << 32 | u64::from(number), |_| {
                 let role = |id: &str| Role::primary_if(id == OLD_PRIMARY);
@@ -85,7 +91,10 @@
             attempts: HashMap::new(),
             unanswered: VecDeque::new(),
             random: fastrand::Rng::with_seed(seed),
+            rate: FLEET_RATE,
+            strong_read_share: STRONG_READ_SHARE,
             requests: 0,
+            warming,
             received_at: Vec::new(),
             strong_reads_served: 0,
             started_at: poolers[0].now,
@@ -103,7 +112,7 @@
             for sim in &mut self.poolers {
                 sim.advance_time(STEP);
             }
-            while (self.requests as f64) < self.now() * FLEET_RATE {
+            while (self.requests as f64) < self.now() * self.rate {
                 self.receive_request();
             }
             self.receive_attempts();
@@ -117,7 +126,7 @@
     fn receive_request(&mut self) {
         self.requests += 1;
         let pooler = self.random.usize(..self.poolers.len());
-        let is_strong = self.random.f64() < STRONG_READ_SHARE;
+        let is_strong = self.random.f64() < self.strong_read_share;
         let (kind, class) = if is_strong { (STRONG, STRONG_READ) } else { (EVENTUAL, EVENTUAL_READ) };
         let id = format!("{kind}{}", self.requests);
         self.poolers[pooler].handle(Event::request(&id, class, 0, secs(TIMEOUT)));
@@ -130,7 +139,7 @@
             let first = std::mem::replace(&mut self.carried_out[pooler], sim.actions.len());
             for action in &sim.actions[first..] {
                 let Action::Send { id, endpoint, .. } = action else { continue };
-                if &**endpoint == NEW_PRIMARY {
+                if &**endpoint == self.warming {
                     self.received_at.push(now);
                 }
                 let attempts = self.attempts.entry(id.to_string()).or_default();
@@ -179,11 +188,11 @@
 
 /// Returns the largest number of attempts in one overload window, in multiples of what the endpoint bears in
 /// it: its overload limit and random variation, which may be larger where the limit is below thirty requests.
-fn largest_overload(received_at: &[f64], settings: &Settings) -> f64 {
+fn largest_overload(received_at: &[f64], restarted_at: f64, settings: &Settings) -> f64 {
     let window = settings.overload_window.as_secs();
     let overloads = received_at.iter().enumerate().map(|(first, start)| {
         let count = received_at[first..].iter().take_while(|at| **at <= start + window).count();
-        let capacity = settings.capacity_at_uptime(secs(start - RESTARTED_AFTER)) * FULL_CAPACITY;
+        let capacity = settings.capacity_at_uptime(secs(start - restarted_at)) * FULL_CAPACITY;
         let limit = settings.overload_limit.unwrap() * capacity * window;
         let deviations = if limit < 30.0 { 3.0 } else { 2.0 };
         count as f64 / (limit + deviations * limit.sqrt() + deviations)
@@ -206,7 +215,7 @@
     };
     settings.classes[STRONG_READ].deadline = secs(TIMEOUT);
     settings.classes[STRONG_READ].late_weight = 0.5;
-    let mut fleet = Fleet::new(&settings, seed);
+    let mut fleet = Fleet::new(&settings, NEW_PRIMARY, seed);
     fleet.run_until(RESTARTED_AFTER);
     fleet.announce_restart();
     fleet.received_at.clear();
@@ -214,6 +223,35 @@
     fleet.announce_primary();
     fleet.run_until(END_AFTER);
     assert!(fleet.strong_reads_served > 20, "only {} strong reads were served", fleet.strong_reads_served);
-    let overload = largest_overload(&fleet.received_at, &settings);
+    let overload = largest_overload(&fleet.received_at, RESTARTED_AFTER, &settings);
+    assert!(overload <= 1.0, "{overload:.2} times what the endpoint bears in one window");
+}
+
+/// Guards against a first request that each pooler may send whatever the fleet sends.
+#[rstest]
+fn the_first_requests_of_a_fleet_in_a_burst_do_not_overload_the_only_replica_in_its_zone_that_is_warming(
+    #[values(182, 600)] pooler_count: u32,
+    #[values(2.0, 4.0)] overload_limit: f64,
+    #[values(1, 2)] seed: u64,
+) {
+    let settings = Settings {
+        pooler_count,
+        overload_limit: Some(overload_limit),
+        overload_window: secs(1.0),
+        slow_start_window: secs(16.0),
+        ..default_settings()
+    };
+    let mut fleet = Fleet::new(&settings, REMOTE_REPLICA, seed);
+    for sim in &mut fleet.poolers {
+        let started_at = Some(ClusterInstant::from_secs(sim.now));
+        let restarted = Endpoint { started_at, ..replica(REMOTE_REPLICA, LOCAL_ZONE) };
+        sim.update_endpoints(UpdateKind::Delta, vec![restarted]);
+    }
+    (fleet.rate, fleet.strong_read_share) = (0.0, 0.0);
+    fleet.run_until(1.0);
+    fleet.rate = BURST * FLEET_RATE;
+    fleet.requests = fleet.rate as usize;
+    fleet.run_until(4.0);
+    let overload = largest_overload(&fleet.received_at, 0.0, &settings);
     assert!(overload <= 1.0, "{overload:.2} times what the endpoint bears in one window");
 }
