--- a/src/policy/slow_start/mod.rs
+++ b/src/policy/slow_start/mod.rs
@@ -122,9 +122,11 @@
         cluster: &Cluster,
     ) -> bool {
         let capacity = capacity(to, cluster);
-        capacity >= 1.0
-            || is_sampled(request, to, share * capacity)
-                && self.budget(to, cluster).is_some_and(|budget| budget.has_token())
+        if capacity >= 1.0 {
+            return true;
+        }
+        let budget = self.budget(to, cluster);
+        is_sampled(request, to, share * capacity) && budget.is_some_and(|budget| budget.has_token())
     }
 
     /// Returns `true` if slow start admits a request that needs the primary to an endpoint. An endpoint in
@@ -136,11 +138,13 @@
         cluster: &Cluster,
     ) -> bool {
         let capacity = capacity(to, cluster);
+        if capacity >= 1.0 {
+            return true;
+        }
         let limit = cluster.settings().overload_limit.unwrap_or(f64::INFINITY);
         let share = limit * PRIMARY_SHARE_OF_LIMIT * capacity;
-        capacity >= 1.0
-            || is_sampled(request, to, share)
-                && self.budget(to, cluster).is_some_and(|budget| budget.has_or_lends_token())
+        let budget = self.budget(to, cluster);
+        is_sampled(request, to, share) && budget.is_some_and(|budget| budget.has_or_lends_token())
     }
 
     /// Returns the share of the requests queued for the primary that may be sent to it now, if `elapsed` has
