Take an endpoint's share of the traffic from the time of the baseline

Where a group has lost members, a cold host could be sent more than it bears.

Cause: the rate at which a cold endpoint's budget is earned was the baseline rate of the group over the capacity that is left. With half of a group lost or cold, that takes each endpoint for twice of what it is.

Change: the share of each request is taken when it is received, from the endpoints that are usable then, and averaged as the baseline rate is.

--- a/src/policy/slow_start/mod.rs
+++ b/src/policy/slow_start/mod.rs
@@ -51,23 +51,28 @@
 struct GroupTraffic {
     current_rate: EventRate,
     baseline_rate: EventRate,
+    /// The baseline rate of an equal share of the requests for each endpoint that was usable at the time.
+    baseline_share_rate: EventRate,
 }
 
 impl GroupTraffic {
     /// Starts to count the requests for a group that has become known.
     fn starting_at(now: LocalInstant) -> GroupTraffic {
-        GroupTraffic { current_rate: EventRate::starting_at(now), baseline_rate: EventRate::starting_at(now) }
+        let rate = EventRate::starting_at(now);
+        GroupTraffic { current_rate: rate, baseline_rate: rate, baseline_share_rate: rate }
     }
 
     /// Counts a request. The rates are computed before the request is added, because including it would make
     /// them too high where requests are rare.
-    fn record(&mut self, now: LocalInstant, overload_window: Span) {
+    fn record(&mut self, usable_endpoints: usize, now: LocalInstant, overload_window: Span) {
         let current = self.current_rate.per_second(now, overload_window);
         let baseline = self.baseline_rate.per_second(now, BASELINE_TIME_CONSTANT);
         let is_burst = current > baseline * MAX_BASELINE_GROWTH;
         let weight = if is_burst { baseline * MAX_BASELINE_GROWTH / current } else { 1.0 };
         self.current_rate.record(1.0, now, overload_window);
         self.baseline_rate.record(weight, now, BASELINE_TIME_CONSTANT);
+        let share = weight / usable_endpoints.max(1) as f64;
+        self.baseline_share_rate.record(share, now, BASELINE_TIME_CONSTANT);
     }
 }
 
@@ -90,8 +95,10 @@
         let is_read = f64::from(u8::from(!needs_primary));
         self.read_fraction += READ_FRACTION_SAMPLE_WEIGHT * (is_read - self.read_fraction);
         let (now, overload_window) = (cluster.now(), cluster.settings().overload_window);
+        let members = cluster.group(group);
+        let usable_endpoints = members.map_or(0, |members| cluster.usable_endpoints(members).count());
         if let Some(traffic) = self.traffic.get_mut(&group) {
-            traffic.record(now, overload_window);
+            traffic.record(usable_endpoints, now, overload_window);
         }
     }
 
@@ -199,13 +206,13 @@
 
     /// Returns the requests per second that an endpoint at its full capacity gets from this pooler at the
     /// baseline traffic of its group: an equal share of all requests, or all requests that need the primary,
-    /// whichever is more.
-    fn baseline_endpoint_rate(&self, group_id: u32, cluster: &Cluster) -> f64 {
-        let Some(group) = cluster.group(group_id) else { return 0.0 };
-        let Some(traffic) = self.traffic.get(&group_id) else { return 0.0 };
-        let equal_share = 1.0 / group_capacity(group, cluster).max(1.0);
-        let share = equal_share.max(1.0 - self.read_fraction);
-        share * traffic.baseline_rate.per_second(cluster.now(), BASELINE_TIME_CONSTANT)
+    /// whichever is more. The share is that of the baseline, since the loss of an endpoint does not raise the
+    /// capacity of the others.
+    fn baseline_endpoint_rate(&self, group: u32, cluster: &Cluster) -> f64 {
+        let Some(traffic) = self.traffic.get(&group) else { return 0.0 };
+        let per_second = |rate: &EventRate| rate.per_second(cluster.now(), BASELINE_TIME_CONSTANT);
+        let at_primary = (1.0 - self.read_fraction) * per_second(&traffic.baseline_rate);
+        at_primary.max(per_second(&traffic.baseline_share_rate))
     }
 }
 
