Let tokens limit a queue that a pooler has tokens for

Requests queued for a cold primary were held back for up to half of their time by every pooler, also by the few large ones of this site, whose tokens bound what they send well enough.

Change: the queue of a pooler that has a token is let out at once, as far as its tokens go; the others let theirs out gradually, as before.

--- a/src/policy/slow_start/mod.rs
+++ b/src/policy/slow_start/mod.rs
@@ -156,7 +156,8 @@
 
     /// Returns the share of the requests queued for the primary that may be sent to it now, if `elapsed` has
     /// passed since the last of them were. All poolers learn of a new primary at about the same time, so that
-    /// what has been queued for seconds must not be sent at once while the primary is in slow start.
+    /// what has been queued for seconds must not be sent at once while the primary is in slow start. As long
+    /// as this pooler has tokens, these limit it instead.
     pub(crate) fn queue_release_share(
         &self,
         primary: EndpointKey,
@@ -164,7 +165,8 @@
         queue_time: Span,
         cluster: &Cluster,
     ) -> f64 {
-        if capacity(primary, cluster) >= 1.0 || queue_time <= Span::ZERO {
+        let is_limited_by_tokens = self.budget(primary, cluster).is_some_and(|budget| budget.has_token());
+        if capacity(primary, cluster) >= 1.0 || queue_time <= Span::ZERO || is_limited_by_tokens {
             return 1.0;
         }
         elapsed / queue_time
