Repeat an unanswered call for the list as soon as a failed one

Cause: a call without an answer was repeated after a quarter of the grace, 0.25 s.

Change: both waits are a twentieth of the grace; the constant of the other one is gone.

--- a/src/policy/watch.rs
+++ b/src/policy/watch.rs
@@ -21,14 +21,11 @@
 const SHARED_SERVICE_TIMEOUT: Span = Span::from_secs(4.0);
 /// Limit of the failure counter. The backoff reaches its longest duration before that.
 const MAX_COUNTED_FAILURES: i32 = 8;
-/// Mean pause between a failed request to the local agent and the next one, as a share of the drain grace.
+/// Mean time from a request to the local agent that fails or gets no answer to the next one, as a share of
+/// the drain grace. The agent may be reachable only briefly between two outages.
 const AGENT_RETRY_SHARE: f64 = 1.0 / 20.0;
-/// Time until a request that the local agent leaves unanswered is repeated, as a share of the drain grace.
-const AGENT_REPEAT_SHARE: f64 = 1.0 / 4.0;
-/// Shortest pause and repetition time, so that a short grace does not turn into a busy loop.
+/// Shortest time between two requests to the agent, so that a short grace does not turn into a busy loop.
 const MIN_AGENT_INTERVAL: Span = Span::from_secs(0.01);
-/// Longest repetition time.
-const MAX_AGENT_REPEAT: Span = Span::from_secs(1.0);
 
 /// Whether an event has changed the state of the watch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,9 +55,7 @@
         let answer_timeout = match settings.list_delivery {
             ListDelivery::Unrequested => return false,
             ListDelivery::SharedService => SHARED_SERVICE_TIMEOUT,
-            ListDelivery::LocalAgent => {
-                (settings.drain_grace * AGENT_REPEAT_SHARE).clamp(MIN_AGENT_INTERVAL, MAX_AGENT_REPEAT)
-            }
+            ListDelivery::LocalAgent => agent_interval(settings),
         };
         if self.is_open || now < self.next_request_at {
             return false;
@@ -79,9 +74,7 @@
         self.is_open = false;
         self.consecutive_failures = (self.consecutive_failures + 1).min(MAX_COUNTED_FAILURES);
         let pause = match settings.list_delivery {
-            ListDelivery::LocalAgent => {
-                (settings.drain_grace * AGENT_RETRY_SHARE).clamp(MIN_AGENT_INTERVAL, MAX_BACKOFF)
-            }
+            ListDelivery::LocalAgent => agent_interval(settings),
             ListDelivery::SharedService | ListDelivery::Unrequested => self.backoff(settings),
         };
         self.next_request_at = now + Jitter::EARLY.apply(pause, rng);
@@ -107,3 +100,8 @@
         }
     }
 }
+
+/// Returns the mean time between two requests to the local agent while the watch is not open.
+fn agent_interval(settings: &Settings) -> Span {
+    (settings.drain_grace * AGENT_RETRY_SHARE).clamp(MIN_AGENT_INTERVAL, MAX_BACKOFF)
+}
