Look at the budget of a cold endpoint only where it matters

The budget was computed for each queued request of a warm primary, and for reads that the sampling leaves out: its arithmetic stood before the cheap conditions.

No behaviour changes; the policy's tests pass.

--- a/src/policy/slow_start/mod.rs
+++ b/src/policy/slow_start/mod.rs
@@ -132,8 +132,7 @@
         if capacity >= 1.0 {
             return true;
         }
-        let budget = self.budget(to, cluster);
-        is_sampled(request, to, share * capacity) && budget.is_some_and(|budget| budget.has_token())
+        is_sampled(request, to, share * capacity) && self.has_budget(to, SlowStartBudget::has_token, cluster)
     }
 
     /// Returns `true` if slow start admits a request that needs the primary to an endpoint. An endpoint in
@@ -150,8 +149,7 @@
         }
         let limit = cluster.settings().overload_limit.unwrap_or(f64::INFINITY);
         let share = limit * PRIMARY_SHARE_OF_LIMIT * capacity;
-        let budget = self.budget(to, cluster);
-        is_sampled(request, to, share) && budget.is_some_and(|budget| budget.has_or_lends_token())
+        is_sampled(request, to, share) && self.has_budget(to, SlowStartBudget::has_or_lends_token, cluster)
     }
 
     /// Returns the share of the requests queued for the primary that may be sent to it now, if `elapsed` has
@@ -165,8 +163,10 @@
         queue_time: Span,
         cluster: &Cluster,
     ) -> f64 {
-        let is_limited_by_tokens = self.budget(primary, cluster).is_some_and(|budget| budget.has_token());
-        if capacity(primary, cluster) >= 1.0 || queue_time <= Span::ZERO || is_limited_by_tokens {
+        if capacity(primary, cluster) >= 1.0
+            || queue_time <= Span::ZERO
+            || self.has_budget(primary, SlowStartBudget::has_token, cluster)
+        {
             return 1.0;
         }
         elapsed / queue_time
@@ -192,6 +192,16 @@
         }
     }
 
+    /// Returns `true` if an endpoint has a budget that permits a request, according to `permits`.
+    fn has_budget(
+        &self,
+        endpoint: EndpointKey,
+        permits: fn(&SlowStartBudget) -> bool,
+        cluster: &Cluster,
+    ) -> bool {
+        self.budget(endpoint, cluster).is_some_and(|budget| permits(&budget))
+    }
+
     /// Returns the budget of an endpoint, updated to now; [`charge_budget`](Self::charge_budget) stores it.
     /// The rate is this pooler's baseline traffic for the endpoint, times a share of the overload limit and
     /// the current capacity.
