Drop what the watch of the list no longer needs

The time limit for a response head has been the same for all watches since the list is requested again within the drain grace, so that the struct of both limits and the factor behind it had one field left that varies: two constants say it. Whether a watch is answered is asked of the watches themselves, without looking up each one by its number.

--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -22,7 +22,7 @@
 use crate::json;
 use error::WatchError;
 use list_splitter::WatchMessage;
-use watch::{WatchConnection, WatchTimeouts};
+use watch::{WatchConnection, LIST_TIMEOUT, LIST_TIMEOUT_AFTER_FAILURE};
 
 /// Maximum number of watches that wait for an answer at the same time: the oldest, which a slow service may
 /// still answer, and the latest.
@@ -67,10 +67,10 @@
 
     /// Opens a watch. Closes an answered one. Of those that wait for an answer, only the oldest stays open.
     pub fn open_watch(&mut self, context: &mut Context) {
-        if self.open_watches.iter().any(|id| self.is_answered(*id)) {
+        if self.watches.iter().any(|(_, watch)| watch.has_response_head()) {
             self.close_all();
         }
-        while self.open_watches.len() >= MAX_UNANSWERED_WATCHES {
+        if self.open_watches.len() >= MAX_UNANSWERED_WATCHES {
             self.close_latest();
         }
         if let Err(error) = self.try_open_watch(context) {
@@ -82,11 +82,11 @@
         tracing::info!(address = %self.address, since = self.list_version, "endpoint list requested");
         let stream = TcpStream::connect(self.address).map_err(|_| WatchError::ConnectFailed)?;
         let now = context.reactor.now();
-        let timeouts = match self.last_error {
-            None => WatchTimeouts::regular(),
-            Some(_) => WatchTimeouts::after_failure(),
+        let list_timeout = match self.last_error {
+            None => LIST_TIMEOUT,
+            Some(_) => LIST_TIMEOUT_AFTER_FAILURE,
         };
-        let mut watch = WatchConnection::new(stream, &self.budget, timeouts, now);
+        let mut watch = WatchConnection::new(stream, &self.budget, list_timeout, now);
         watch.request_changes(self.list_version, self.address).map_err(|_| WatchError::ConnectFailed)?;
         let deadline = watch.deadline();
         let id = self.watches.insert(watch);
@@ -100,19 +100,14 @@
         Ok(())
     }
 
-    /// Returns `true` if the service has begun to answer a watch.
-    fn is_answered(&self, id: ConnectionId) -> bool {
-        self.watches.iter().any(|(open, watch)| open == id && watch.has_response_head())
-    }
-
     fn close(&mut self, id: ConnectionId) {
         self.open_watches.retain(|open| *open != id);
         self.watches.remove(id);
     }
 
     fn close_latest(&mut self) {
-        if let Some(id) = self.open_watches.last().copied() {
-            self.close(id);
+        if let Some(latest) = self.open_watches.pop() {
+            self.watches.remove(latest);
         }
     }
 
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -24,31 +24,9 @@
 /// A watch without a response head after this time is closed. The service may be slow.
 const RESPONSE_HEAD_TIMEOUT: Duration = Duration::from_millis(2500);
 /// A watch is closed if a list that has begun is not complete after this time.
-const LIST_TIMEOUT: Duration = Duration::from_millis(2800);
-/// Factor by which the list timeout of a watch is extended if it follows a failed one, since the service may
-/// be slow.
-const RETRY_TIMEOUT_FACTOR: f64 = 2.5;
-
-/// Limits on the duration of the parts of a watch response.
-#[derive(Clone, Copy)]
-pub(super) struct WatchTimeouts {
-    /// Until the response head is complete.
-    head: Duration,
-    /// Until a list that has begun is complete.
-    list: Duration,
-}
-
-impl WatchTimeouts {
-    /// Timeouts of a watch that does not follow a failed one.
-    pub fn regular() -> WatchTimeouts {
-        WatchTimeouts { head: RESPONSE_HEAD_TIMEOUT, list: LIST_TIMEOUT }
-    }
-
-    /// Timeouts of a watch that follows a failed one.
-    pub fn after_failure() -> WatchTimeouts {
-        WatchTimeouts { head: RESPONSE_HEAD_TIMEOUT, list: LIST_TIMEOUT.mul_f64(RETRY_TIMEOUT_FACTOR) }
-    }
-}
+pub(super) const LIST_TIMEOUT: Duration = Duration::from_millis(2800);
+/// As [`LIST_TIMEOUT`], for a watch that follows a failed one, since the service may be slow.
+pub(super) const LIST_TIMEOUT_AFTER_FAILURE: Duration = Duration::from_secs(7);
 
 /// The connection of a watch.
 pub(super) struct WatchConnection {
@@ -61,7 +39,8 @@
     last_received_at: Instant,
     /// When the current, incomplete list began.
     list_started_at: Option<Instant>,
-    timeouts: WatchTimeouts,
+    /// Time limit for a list that has begun.
+    list_timeout: Duration,
 }
 
 impl WatchConnection {
@@ -69,7 +48,7 @@
     pub fn new(
         stream: TcpStream,
         budget: &MemoryBudget,
-        timeouts: WatchTimeouts,
+        list_timeout: Duration,
         now: Instant,
     ) -> WatchConnection {
         WatchConnection {
@@ -80,7 +59,7 @@
             splitter: ListSplitter::default(),
             last_received_at: now,
             list_started_at: None,
-            timeouts,
+            list_timeout,
         }
     }
 
@@ -107,11 +86,11 @@
     /// Returns when the watch must be closed unless more data is received before.
     pub fn deadline(&self) -> Instant {
         if !self.response.has_head() {
-            return self.last_received_at + self.timeouts.head;
+            return self.last_received_at + RESPONSE_HEAD_TIMEOUT;
         }
         let idle_deadline = self.last_received_at + IDLE_TIMEOUT;
         match self.list_started_at {
-            Some(started_at) => idle_deadline.min(started_at + self.timeouts.list),
+            Some(started_at) => idle_deadline.min(started_at + self.list_timeout),
             None => idle_deadline,
         }
     }
