Decide in the retry rules that a slow read keeps its only attempt

The check that an endpoint is left for the retry stood behind the rule, in the dispatch that carries it out. It belongs to `replacement`, with the other conditions.

No behaviour changes. The fixture of the rule's unit tests gets two endpoints, since it had none; its assertions are the same.

--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -247,14 +247,13 @@
         let OverdueAttempt { number, cause, .. } = *overdue;
         match retry::replacement(request, number, cause, latency, &self.retry_budget, &self.cluster) {
             Some(Replacement::Hedge) => self.hedge(overdue),
-            // Without another endpoint, the slow attempt is the only one that may be answered.
-            Some(Replacement::CancelAndRetry) if retry::has_endpoint_for_retry(request, &self.cluster) => {
+            Some(Replacement::CancelAndRetry) => {
                 if let Some(attempt) = request.attempt_mut(number) {
                     attempt.cancel();
                 }
                 self.actions.push(Action::CancelAttempt { id: request.id().clone(), attempt: number });
             }
-            Some(Replacement::CancelAndRetry) | None => {}
+            None => {}
         }
     }
 
--- a/src/policy/retry/mod.rs
+++ b/src/policy/retry/mod.rs
@@ -170,12 +170,13 @@
     }
     let may_cancel =
         cluster.settings().cancellation && (cause.is_endpoint_unresponsive || cause.is_answer_lost);
-    may_cancel.then_some(Replacement::CancelAndRetry)
+    // Without another endpoint, the slow attempt is the only one that may be answered.
+    (may_cancel && has_endpoint_for_retry(request, cluster)).then_some(Replacement::CancelAndRetry)
 }
 
 /// Returns `true` if a retry could be sent: a read is sent to each endpoint once, and other requests to the
 /// primary again.
-pub(crate) fn has_endpoint_for_retry(request: &PendingRequest, cluster: &Cluster) -> bool {
+fn has_endpoint_for_retry(request: &PendingRequest, cluster: &Cluster) -> bool {
     if cluster.class(request.class()).needs_primary() {
         return true;
     }
--- a/src/policy/retry/tests.rs
+++ b/src/policy/retry/tests.rs
@@ -1,6 +1,7 @@
 use rstest::rstest;
 
 use super::*;
+use crate::interface::{Endpoint, UpdateKind};
 use crate::policy::request::tests::pending;
 use crate::policy::request::Attempt;
 use crate::time::tests::{at, secs};
@@ -12,6 +13,7 @@
 /// Index of a class of writes that must not be repeated.
 const NON_IDEMPOTENT: usize = 2;
 
+/// Returns a cluster with two endpoints.
 fn cluster(now: f64, change: impl FnOnce(&mut Settings)) -> Cluster {
     let class = |idempotency, consistency| RequestClass {
         idempotency,
@@ -31,6 +33,8 @@
     change(&mut settings);
     let mut cluster = Cluster::new(settings);
     cluster.advance_to(at(now));
+    let endpoints = ["a", "b"].map(|id| Endpoint { id: id.into(), ..Endpoint::default() });
+    cluster.apply_list_update(UpdateKind::Snapshot, &endpoints);
     cluster
 }
 
