Log the close of a client connection where it is removed

Two places logged the line and removed the connection. `ClientConnections::remove` takes the reason and does both, as the pool does for connections to endpoints; a connection that a new one replaces has its own reason in the enum.

The lines are the same.

--- a/src/net/frontend/connection_limit.rs
+++ b/src/net/frontend/connection_limit.rs
@@ -7,6 +7,7 @@
 use super::acceptor::AcceptStatus;
 use super::connection::ClientConnection;
 use super::connections::Capacity;
+use super::error::MustClose;
 use super::Frontend;
 use crate::net::{CancelKey, Context};
 
@@ -57,9 +58,7 @@
                 // The old connection is closed only after the new one is accepted, which briefly takes a
                 // reserved file descriptor.
                 if let Some(id) = evicted {
-                    let reason = "replaced by a new connection";
-                    tracing::info!(client = %id, reason, "client connection closed");
-                    self.connections.remove(id);
+                    self.connections.remove(id, MustClose::Replaced);
                 }
                 self.add_connection(stream, context);
                 ControlFlow::Continue(())
--- a/src/net/frontend/connections.rs
+++ b/src/net/frontend/connections.rs
@@ -2,6 +2,7 @@
 //! existing connection it replaces.
 
 use super::connection::ClientConnection;
+use super::error::MustClose;
 use super::protocol_state::Phase;
 use super::session::Session;
 use crate::net::reactor::{ConnectionId, ConnectionTable};
@@ -54,9 +55,11 @@
         self.table.insert(connection)
     }
 
-    /// Closes the connection with this ID, unless it was removed.
-    pub(super) fn remove(&mut self, id: ConnectionId) {
-        self.table.remove(id);
+    /// Closes the connection with this ID, unless it was removed, and logs the reason.
+    pub(super) fn remove(&mut self, id: ConnectionId, reason: MustClose) {
+        if self.table.remove(id).is_some() {
+            tracing::info!(client = %id, %reason, "client connection closed");
+        }
     }
 
     /// Returns the IDs of all connections.
--- a/src/net/frontend/error.rs
+++ b/src/net/frontend/error.rs
@@ -16,6 +16,9 @@
     /// The client has missed its deadline while output is unread or the connection is closing.
     #[error("the client does not read or close")]
     DeadlineMissed,
+    /// The connection limit is reached, and a new connection takes the place of this one.
+    #[error("replaced by a new connection")]
+    Replaced,
     /// The socket has failed.
     #[error("socket error")]
     SocketFailed,
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -208,12 +208,11 @@
         connection.update_deadline(id, context);
         let is_closed = result.is_err();
         if let Err(reason) = result {
-            tracing::info!(client = %id, %reason, "client connection closed");
             if is_busy {
                 context.events.push_back(Event::ClientDisconnected(id));
             }
             connection.process_final_cancel_request(context);
-            self.connections.remove(id);
+            self.connections.remove(id, reason);
         }
         if is_closed || !is_busy {
             self.resume_accepting(context);
