Share the startup and the list lines of scripted peers

The soak read and answered a startup message of its own beside the harness, and four places of the tests built a line of the list. `Connection::answer_startup`, `line_chunk` and `response_with_line` serve them all. No assertion changes.

--- a/tests/loopback/discovery_outages.rs
+++ b/tests/loopback/discovery_outages.rs
@@ -33,7 +33,7 @@
 
 /// Answers every call that `listener` accepts from now on with the list.
 fn answer_calls(listener: TcpListener, list: &EndpointList) {
-    let response = [CHUNKED_HEAD.as_bytes(), &chunk(format!("{list}\n").as_bytes())].concat();
+    let response = response_with_line(list);
     std::thread::spawn(move || {
         let mut open_calls = Vec::new();
         while let Ok((mut call, _)) = listener.accept() {
--- a/tests/loopback/harness/database_host.rs
+++ b/tests/loopback/harness/database_host.rs
@@ -1,7 +1,6 @@
 //! Scripted database hosts.
 
-use std::io::Read;
-use std::io::Write;
+use std::io::{self, Read, Write};
 use std::net::{Shutdown, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -75,7 +74,7 @@
     /// Accepts the next connection and reads its startup message, without answering it.
     pub fn accept_unanswered_startup(&self) -> Connection {
         let mut connection = self.accept_without_startup();
-        connection.receive_startup();
+        connection.receive_startup().unwrap();
         connection
     }
 
@@ -88,7 +87,7 @@
 }
 
 /// Returns the response to a startup message: AuthenticationOk and ReadyForQuery.
-pub fn startup_response() -> Vec<u8> {
+fn startup_response() -> Vec<u8> {
     let authentication_ok = encode_message(message_type::AUTHENTICATION, &AUTHENTICATION_OK);
     [authentication_ok, ready_for_query()].concat()
 }
@@ -101,8 +100,9 @@
     service_time: Duration,
     received_at: &Mutex<Vec<Instant>>,
 ) {
-    connection.receive_startup();
-    connection.complete_startup();
+    if connection.answer_startup().is_err() {
+        return;
+    }
     while connection.receive().is_some() {
         received_at.lock().unwrap().push(Instant::now());
         std::thread::sleep(service_time);
@@ -113,12 +113,17 @@
 }
 
 impl Connection {
-    /// Receives the startup message.
-    pub fn receive_startup(&mut self) {
+    /// Receives the startup message. Fails if the connection ends before.
+    fn receive_startup(&mut self) -> io::Result<()> {
         let mut length = [0; 4];
-        self.stream.read_exact(&mut length).unwrap();
-        let mut parameters = vec![0; u32::from_be_bytes(length) as usize - 4];
-        self.stream.read_exact(&mut parameters).unwrap();
+        self.stream.read_exact(&mut length)?;
+        self.stream.read_exact(&mut vec![0; u32::from_be_bytes(length) as usize - 4])
+    }
+
+    /// Receives and answers the startup message. Fails if the connection ends meanwhile.
+    pub fn answer_startup(&mut self) -> io::Result<()> {
+        self.receive_startup()?;
+        self.stream.write_all(&startup_response())
     }
 
     /// Answers the startup message. The pooler may then send queries.
--- a/tests/loopback/harness/discovery.rs
+++ b/tests/loopback/harness/discovery.rs
@@ -150,8 +150,7 @@
 
     /// Sends the head of the response and one line of JSON as a single chunk.
     pub fn send_json(&mut self, json: &str) {
-        let line = format!("{json}\n");
-        self.send(&[CHUNKED_HEAD.as_bytes(), &chunk(line.as_bytes())].concat());
+        self.send(&response_with_line(json));
     }
 
     /// Sends the head of the response and the list as a single chunk.
@@ -167,6 +166,16 @@
     }
 }
 
+/// Returns the head of a response and one line of its body as a single chunk.
+pub fn response_with_line(line: impl fmt::Display) -> Vec<u8> {
+    [CHUNKED_HEAD.as_bytes(), &line_chunk(line)].concat()
+}
+
+/// Encodes one line of a chunked body as a single chunk.
+pub fn line_chunk(line: impl fmt::Display) -> Vec<u8> {
+    chunk(format!("{line}\n").as_bytes())
+}
+
 /// Encodes one chunk of a chunked body.
 pub fn chunk(bytes: &[u8]) -> Vec<u8> {
     [format!("{:x}\r\n", bytes.len()).as_bytes(), bytes, b"\r\n"].concat()
--- a/tests/loopback/slow_start.rs
+++ b/tests/loopback/slow_start.rs
@@ -57,21 +57,21 @@
     }
 
     fn publish(&self, list: &EndpointList) {
-        self.send(format!("{list}\n").as_bytes());
+        self.send(list);
     }
 
     /// Waits, and keeps the watches alive meanwhile.
     fn wait(&self, time: Duration) {
         let start = Instant::now();
         while start.elapsed() < time {
-            self.send(b"\n");
+            self.send("");
             std::thread::sleep(HEARTBEAT_INTERVAL.min(time.saturating_sub(start.elapsed())));
         }
     }
 
     /// Sends a line to all watches that are still open.
-    fn send(&self, line: &[u8]) {
-        let line = chunk(line);
+    fn send(&self, line: impl std::fmt::Display) {
+        let line = line_chunk(line);
         self.watches.lock().unwrap().retain_mut(|watch| watch.write_all(&line).is_ok());
     }
 }
--- a/tests/loopback/soak/discovery.rs
+++ b/tests/loopback/soak/discovery.rs
@@ -124,17 +124,12 @@
 
     /// Answers a call. One that the pooler has closed is dropped.
     fn answer(&mut self, mut watch: Watch) {
-        let response = [CHUNKED_HEAD.as_bytes(), &list_chunk(&self.list())].concat();
-        if watch.stream.write_all(&response).is_ok() {
+        if watch.stream.write_all(&response_with_line(self.list())).is_ok() {
             self.watches.push((self.active, watch));
         }
     }
 }
 
-fn list_chunk(list: &EndpointList) -> Vec<u8> {
-    chunk(format!("{list}\n").as_bytes())
-}
-
 /// A discovery service that is available at one of two addresses at a time.
 pub struct SoakDiscovery {
     services: [Arc<DiscoveryService>; 2],
@@ -177,7 +172,7 @@
         *host.drain.lock().unwrap() = (!is_draining).then_some(Drain { told_at: None });
         state.index += 1;
         state.tell_drains();
-        let line = list_chunk(&state.list());
+        let line = line_chunk(state.list());
         state.watches.retain_mut(|(_, watch)| watch.stream.write_all(&line).is_ok());
     }
 
--- a/tests/loopback/soak/host.rs
+++ b/tests/loopback/soak/host.rs
@@ -1,6 +1,6 @@
 //! A database host that answers queries, with faults that a test can inject.
 
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{ErrorKind, Write};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -101,7 +101,7 @@
 ) {
     let startup_delay = faults.lock().unwrap().startup_delay;
     std::thread::sleep(startup_delay);
-    if answer_startup(&mut connection).is_err() {
+    if connection.answer_startup().is_err() {
         return;
     }
     while let Some(message) = connection.receive() {
@@ -136,13 +136,6 @@
     }
 }
 
-fn answer_startup(connection: &mut Connection) -> io::Result<()> {
-    let mut length = [0; 4];
-    connection.stream.read_exact(&mut length)?;
-    connection.stream.read_exact(&mut vec![0; u32::from_be_bytes(length) as usize - 4])?;
-    connection.stream.write_all(&startup_response())
-}
-
 /// Returns a random service time for a query.
 fn service_time(sql: &str, random: &mut fastrand::Rng) -> Duration {
     let max = if sql.contains("c=reports,") { MAX_REPORT_TIME } else { MAX_QUERY_TIME };
