Review case 3: a read that must be current goes to a host known to be a replica

Cause: an attempt is decided when its connection is opened, and not looked at again when its query is written.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 mod endless;
 mod extra;
 mod flood;
+mod fresh;
 mod gone;
 mod hog;
 #[allow(dead_code)]
@@ -22,6 +23,7 @@
         "extra" => extra::run(),
         "stale" => stale::run(),
         "flood" => flood::run(),
+        "fresh" => fresh::run(),
         "gone" => gone::run(),
         "hog" => hog::run(),
         "slow-discovery" => slow_discovery::run(),
