--- a/src/counters/mod.rs
+++ b/src/counters/mod.rs
@@ -1,6 +1,7 @@
 //! The counters of the pooler. `docs/logs-and-counters.md` documents them for operators.
 
 use std::fmt;
+use std::time::Duration;
 
 use crate::interface::Outcome;
 
@@ -116,6 +117,8 @@
     pub reloads: u64,
     /// Failed reloads of the configuration.
     pub reload_failures: u64,
+    /// The longest time that the event loop has spent on one event.
+    pub longest_callback: Duration,
 }
 
 impl fmt::Display for Counters {
@@ -127,7 +130,8 @@
         let mut health_check_outcomes = self.health_check_outcomes.named().to_vec();
         health_check_outcomes.retain(|(_, count)| *count > 0);
         write_counts(formatter, HEALTH_CHECK_PREFIX, &health_check_outcomes)?;
-        write_counts(formatter, NO_PREFIX, &self.fault_and_control_counts())
+        write_counts(formatter, NO_PREFIX, &self.fault_and_control_counts())?;
+        write!(formatter, " longest_callback_ms={}", self.longest_callback.as_millis())
     }
 }
 
--- a/src/counters/tests.rs
+++ b/src/counters/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the printed counters.
 
+use std::time::Duration;
+
 use super::{Counters, OutcomeCounts};
 use crate::interface::Outcome;
 
@@ -55,6 +57,7 @@
         watch_failures: 18,
         reloads: 19,
         reload_failures: 20,
+        longest_callback: Duration::from_millis(21),
     }
 }
 
@@ -65,7 +68,8 @@
         error=2 overloaded=3 timeout=4 connect_failed=5 connection_reset=6 cancelled=7 not_sent=8 \
         ineligible=9 invalid_request=10 health_checks_sent=12 health_check_success=2 health_check_timeout=1 \
         health_check_invalid_request=1 malformed_answers=13 unsolicited_messages=14 unreadable_reports=15 \
-        endpoint_updates=17 watch_failures=18 reloads=19 reload_failures=20 cancel_requests=10";
+        endpoint_updates=17 watch_failures=18 reloads=19 reload_failures=20 cancel_requests=10 \
+        longest_callback_ms=21";
     assert_eq!(distinct_counters().to_string(), expected);
 }
 
--- a/src/net/reactor/mod.rs
+++ b/src/net/reactor/mod.rs
@@ -2,6 +2,7 @@
 
 mod clock;
 mod connection_table;
+mod stopwatch;
 #[cfg(test)]
 mod tests;
 mod timers;
@@ -18,6 +19,7 @@
 use clock::Clock;
 pub(crate) use clock::{duration_of, span_of};
 pub(crate) use connection_table::{ConnectionId, ConnectionTable};
+use stopwatch::Stopwatch;
 pub(crate) use timers::TimerEvent;
 use timers::TimerQueue;
 pub(crate) use tokens::EventSource;
@@ -131,8 +133,10 @@
     let ready = events.iter().map(|event| (EventSource::from(event.token()), readiness(event)));
     let (disconnected_clients, others): (Vec<_>, Vec<_>) =
         ready.partition(|(source, readiness)| *readiness == Readiness::Disconnected && source.is_client());
+    let mut stopwatch = Stopwatch::start(&context.reactor);
     for (source, readiness) in disconnected_clients.into_iter().chain(others) {
         handler.ready(source, readiness, context);
+        stopwatch.record_callback(source, context);
     }
 }
 
@@ -148,7 +152,9 @@
 /// time is handled in the next iteration, after the sockets were polled.
 fn handle_expired_timers(handler: &mut impl Handler, context: &mut Context) {
     let now = context.reactor.now();
+    let mut stopwatch = Stopwatch::start(&context.reactor);
     while let Some(event) = context.reactor.timers.pop_expired(now) {
         handler.timer_expired(event, context);
+        stopwatch.record_callback(event, context);
     }
 }
