Give each source a limited share of a turn of the event loop

Cause: loops that end when the peer stops. run_cycle of a client connection went on while each read filled the buffer, and the limit of 32 messages never took effect, as a buffer holds only one message of 148 KB. The same shape stood in the reading of answers, in the watch, in accept (which ran the first cycles of all new connections in one event), in the expired timers, and between respond and process_events, where an answer given at once let the next query in.

Ruled out: the parsing of the comments (1.4 ms a command), and a wait for the processor or the log.

Change: in one turn a connection reads one buffer and processes 32 messages (an endpoint's 256), and the listener accepts 16. A response no longer lets the next query in. What is left waits in a queue of the reactor, which resumes each member in turn, for 5 ms in each turn of the loop.

--- a/src/net/backend/connection.rs
+++ b/src/net/backend/connection.rs
@@ -13,7 +13,7 @@
 use crate::interface::{EndpointId, Outcome};
 use crate::net::buffer::{MemoryBudget, MemoryReservation, ReadStatus, RingBuffer};
 use crate::net::postgres::{self, sqlstate, BackendMessage, BackendMessageKind};
-use crate::net::reactor::{ConnectionId, EventSource, Reactor};
+use crate::net::reactor::{ConnectionId, EventSource, Reactor, Resumption};
 
 /// User and database in the startup message.
 const USER: &str = "app";
@@ -27,6 +27,11 @@
 /// Maximum time that a query may stay in the output buffer.
 const QUERY_WRITE_TIMEOUT: Duration = MAX_TIMEOUT_EXCESS.saturating_sub(TRANSMISSION_MARGIN);
 
+/// Maximum number of messages of an endpoint that are processed in one cycle. Together with the size of the input
+/// buffer, of which a cycle reads one, it prevents an endpoint that sends continuously from blocking the event
+/// loop. A reply has far fewer.
+const MAX_MESSAGES_PER_CYCLE: usize = 256;
+
 /// Status of an exchange.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ExchangeStatus {
@@ -64,6 +69,9 @@
     state: ConnectionState,
     input: RingBuffer,
     output: RingBuffer,
+    /// Whether the last cycle left input that no event announces again.
+    has_more_input: bool,
+    next_cycle: Resumption,
     /// Memory reservation for the value of the reply.
     value_memory: MemoryReservation,
 }
@@ -87,6 +95,8 @@
             state: ConnectionState::Connecting(exchange),
             input: RingBuffer::new(budget),
             output: RingBuffer::new(budget),
+            has_more_input: false,
+            next_cycle: Resumption::default(),
             value_memory: budget.reservation(),
         }
     }
@@ -165,7 +175,25 @@
         Some(finished)
     }
 
-    /// Reads, processes and writes until the connection would block. Once a reply has started, the rest must
+    /// Lets the reactor resume the connection if the last cycle left input that no event announces again.
+    pub fn schedule_cycle_if_needed(&mut self, id: ConnectionId, reactor: &mut Reactor) {
+        if self.has_more_input {
+            self.next_cycle.schedule(EventSource::Backend(id), reactor);
+        }
+    }
+
+    /// Returns `true` if the reactor will resume the connection.
+    pub fn is_cycle_scheduled(&self) -> bool {
+        self.next_cycle.is_scheduled()
+    }
+
+    /// Records that the reactor resumes the connection; the caller runs the cycle. Returns `true` if it was
+    /// scheduled.
+    pub fn take_scheduled_cycle(&mut self) -> bool {
+        self.next_cycle.take()
+    }
+
+    /// Reads at most one buffer, processes it and writes until the connection would block. Once a reply has started, the rest must
     /// arrive within the connect timeout: a reply may announce more data than the endpoint ever sends.
     pub fn run_cycle(&mut self, now: Instant) -> ExchangeStatus {
         let status = self.process_io(now);
@@ -187,8 +215,9 @@
         }
     }
 
-    /// Reads, processes and writes until the connection would block or the exchange ends.
+    /// Reads at most one buffer, processes it and writes, until the connection would block or the exchange ends.
     fn process_io(&mut self, now: Instant) -> ExchangeStatus {
+        self.has_more_input = false;
         if matches!(self.state, ConnectionState::Connecting(_)) {
             match self.finish_connecting() {
                 ConnectStatus::Established => {}
@@ -196,29 +225,41 @@
                 ConnectStatus::Failed => return ExchangeStatus::Failed(Outcome::ConnectFailed),
             }
         }
-        loop {
-            if let Err(status) = self.write_output(now) {
-                return status;
-            }
-            // Data received before a reset is still processed.
-            let read = self.input.read_from(&mut self.stream).unwrap_or(ReadStatus::EndOfStream);
-            let unprocessed = self.input.len();
-            let was_starting = self.state.is_starting();
-            let status = self.process_messages(now);
+        if let Err(status) = self.write_output(now) {
+            return status;
+        }
+        // Data received before a reset is still processed.
+        let read = self.input.read_from(&mut self.stream).unwrap_or(ReadStatus::EndOfStream);
+        let status = self.process_input(read, now);
+        if status != ExchangeStatus::Pending {
+            return status;
+        }
+        // A query may have been queued at the end of the startup.
+        self.write_output(now).err().unwrap_or(ExchangeStatus::Pending)
+    }
+
+    /// Processes the input after a read with this result.
+    fn process_input(&mut self, read: ReadStatus, now: Instant) -> ExchangeStatus {
+        let unprocessed = self.input.len();
+        for _ in 0..MAX_MESSAGES_PER_CYCLE {
+            let message = match postgres::read_backend_message(&mut self.input) {
+                Ok(Some(message)) => message,
+                Ok(None) if read == ReadStatus::EndOfStream => return self.lost_connection_status(),
+                Ok(None) => {
+                    // Readiness is edge-triggered: no further event comes for data left in the socket because
+                    // the buffer was full.
+                    self.has_more_input = read == ReadStatus::Full && self.input.len() != unprocessed;
+                    return ExchangeStatus::Pending;
+                }
+                Err(_) => return self.reject_malformed(),
+            };
+            let status = self.process_message(&message, now);
             if status != ExchangeStatus::Pending {
                 return status;
             }
-            if read == ReadStatus::EndOfStream {
-                return self.lost_connection_status();
-            }
-            // Readiness is edge-triggered: no further event comes for data left in the socket because the
-            // buffer was full, nor for a query that was just queued.
-            let can_read_more = read == ReadStatus::Full && self.input.len() != unprocessed;
-            let query_queued = was_starting && !self.state.is_starting();
-            if !can_read_more && !query_queued {
-                return ExchangeStatus::Pending;
-            }
         }
+        self.has_more_input = true;
+        ExchangeStatus::Pending
     }
 
     /// Writes the output until the socket would block. Fails if the connection is lost. Also fails, without
@@ -274,21 +315,6 @@
         }
     }
 
-    /// Processes all complete messages in the input buffer.
-    fn process_messages(&mut self, now: Instant) -> ExchangeStatus {
-        loop {
-            let message = match postgres::read_backend_message(&mut self.input) {
-                Ok(Some(message)) => message,
-                Ok(None) => return ExchangeStatus::Pending,
-                Err(_) => return self.reject_malformed(),
-            };
-            let status = self.process_message(&message, now);
-            if status != ExchangeStatus::Pending {
-                return status;
-            }
-        }
-    }
-
     /// Processes one message according to the current state.
     fn process_message(&mut self, message: &BackendMessage, now: Instant) -> ExchangeStatus {
         if matches!(message.kind, BackendMessageKind::NoticeResponse | BackendMessageKind::BackendKeyData) {
--- a/src/net/backend/connection/tests.rs
+++ b/src/net/backend/connection/tests.rs
@@ -21,6 +21,10 @@
     Exchange::new(Task::Attempt(attempt), started_at, TIMEOUT)
 }
 
+fn is_starting(connection: &BackendConnection) -> bool {
+    matches!(connection.state, ConnectionState::Starting(_))
+}
+
 /// Returns a connection that has started its session at `started_at`, and the socket of its endpoint, which
 /// reads nothing more.
 fn connection_with_blocked_query(started_at: Instant) -> (BackendConnection, std::net::TcpStream) {
@@ -39,13 +43,13 @@
         &budget,
     );
     let (mut endpoint, _) = listener.accept().unwrap();
-    while !connection.state.is_starting() {
+    while !is_starting(&connection) {
         assert_eq!(connection.run_cycle(started_at), ExchangeStatus::Pending);
     }
     let startup_length = postgres::startup_message(USER, DATABASE).len();
     endpoint.read_exact(&mut vec![0; startup_length]).unwrap();
     endpoint.write_all(b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I").unwrap();
-    while connection.state.is_starting() {
+    while is_starting(&connection) {
         assert_eq!(connection.run_cycle(started_at), ExchangeStatus::Pending);
     }
     assert!(!connection.has_empty_buffers(), "the query should not fit into the socket buffers");
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -154,8 +154,23 @@
         }
     }
 
-    /// Handles a poll event of a connection, which may be readable or writable.
+    /// Handles a poll event of a connection, which may be readable or writable. One that will be resumed has used
+    /// up its share of this turn.
     pub fn ready(&mut self, id: ConnectionId, context: &mut Context) {
+        if self.pool.get_mut(id).is_some_and(|connection| !connection.is_cycle_scheduled()) {
+            self.run_cycle(id, context);
+        }
+    }
+
+    /// Resumes a connection that had more input than its share of an earlier turn.
+    pub fn resume(&mut self, id: ConnectionId, context: &mut Context) {
+        if self.pool.get_mut(id).is_some_and(BackendConnection::take_scheduled_cycle) {
+            self.run_cycle(id, context);
+        }
+    }
+
+    /// Runs a cycle of a connection.
+    fn run_cycle(&mut self, id: ConnectionId, context: &mut Context) {
         let now = context.reactor.now();
         let Some(connection) = self.pool.get_mut(id) else { return };
         let previous_deadline = connection.state_deadline();
@@ -174,7 +189,7 @@
             return;
         }
         // Data already received still counts, even if its poll event is not handled yet.
-        self.ready(id, context);
+        self.run_cycle(id, context);
         if !self.is_expired(id, now) {
             return;
         }
@@ -203,7 +218,11 @@
 
     fn handle_status(&mut self, id: ConnectionId, status: ExchangeStatus, context: &mut Context) {
         match status {
-            ExchangeStatus::Pending => {}
+            ExchangeStatus::Pending => {
+                if let Some(connection) = self.pool.get_mut(id) {
+                    connection.schedule_cycle_if_needed(id, &mut context.reactor);
+                }
+            }
             ExchangeStatus::Done => self.finish_exchange(id, context),
             ExchangeStatus::Failed(outcome) => self.close(id, outcome, context),
             ExchangeStatus::Malformed(outcome) => {
--- a/src/net/backend/state.rs
+++ b/src/net/backend/state.rs
@@ -59,11 +59,6 @@
         matches!(self, ConnectionState::Busy { .. })
     }
 
-    /// Returns `true` if the session is being started.
-    pub fn is_starting(&self) -> bool {
-        matches!(self, ConnectionState::Starting(_))
-    }
-
     /// Switches to `Idle` and returns the exchange, if any, with the part of its reply received so far.
     pub fn take_exchange(&mut self) -> Option<(Exchange, Reply)> {
         match std::mem::replace(self, ConnectionState::Idle) {
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -22,7 +22,7 @@
 use crate::json;
 use error::WatchError;
 use list_splitter::WatchMessage;
-use watch::{WatchConnection, LIST_TIMEOUT, LIST_TIMEOUT_AFTER_FAILURE};
+use watch::{CycleStatus, WatchConnection, LIST_TIMEOUT, LIST_TIMEOUT_AFTER_FAILURE};
 
 /// Maximum number of watches that wait for an answer at the same time: the oldest, which a slow service may
 /// still answer, and the latest.
@@ -140,19 +140,40 @@
         context.events.push_back(Event::WatchFailed);
     }
 
-    /// Handles a watch whose socket is ready for reading or writing.
+    /// Handles a watch whose socket is ready for reading or writing. One that will be resumed has used up its share
+    /// of this turn.
     pub fn ready(&mut self, id: ConnectionId, context: &mut Context) {
+        if self.watches.get_mut(id).is_some_and(|watch| !watch.is_cycle_scheduled()) {
+            self.run_cycle(id, context);
+        }
+    }
+
+    /// Resumes a watch that had more input than its share of an earlier turn.
+    pub fn resume(&mut self, id: ConnectionId, context: &mut Context) {
+        if self.watches.get_mut(id).is_some_and(WatchConnection::take_scheduled_cycle) {
+            self.run_cycle(id, context);
+        }
+    }
+
+    /// Runs a cycle of a watch.
+    fn run_cycle(&mut self, id: ConnectionId, context: &mut Context) {
         let Some(watch) = self.watches.get_mut(id) else { return };
         let mut messages = Vec::new();
         let was_answered = watch.has_response_head();
-        let io_result = watch.handle_ready(context.reactor.now(), &mut messages);
+        let io_result = watch.run_cycle(context.reactor.now(), &mut messages);
         if !was_answered && watch.has_response_head() {
             self.keep_only(id);
             context.events.push_back(Event::WatchAnswered);
         }
         let apply_result = messages.into_iter().try_for_each(|message| self.apply(message, context));
-        if let Err(error) = apply_result.and(io_result) {
-            self.fail(id, error, context);
+        match apply_result.and(io_result) {
+            Ok(CycleStatus::Complete) => {}
+            Ok(CycleStatus::MoreInput) => {
+                if let Some(watch) = self.watches.get_mut(id) {
+                    watch.schedule_cycle(id, &mut context.reactor);
+                }
+            }
+            Err(error) => self.fail(id, error, context),
         }
     }
 
@@ -179,7 +200,7 @@
     /// Closes the watch if its deadline has passed: a connection that was cut off may still look open.
     pub fn timer_expired(&mut self, id: ConnectionId, context: &mut Context) {
         // Data already received still counts, even if its poll event is not handled yet.
-        self.ready(id, context);
+        self.run_cycle(id, context);
         let Some(watch) = self.watches.get_mut(id) else { return };
         let deadline = watch.deadline();
         if context.reactor.now() >= deadline {
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -11,7 +11,7 @@
 use super::http_response::ResponseParser;
 use super::list_splitter::{ListSplitter, WatchMessage};
 use crate::net::buffer::{CapacityExceeded, MemoryBudget, ReadStatus, RingBuffer};
-use crate::net::reactor::{ConnectionId, EventSource, Reactor};
+use crate::net::reactor::{ConnectionId, EventSource, Reactor, Resumption};
 
 const PATH: &str = "/catalog/members";
 
@@ -28,6 +28,15 @@
 /// As [`LIST_TIMEOUT`], for a watch that follows a failed one, since the service may be slow.
 pub(super) const LIST_TIMEOUT_AFTER_FAILURE: Duration = Duration::from_secs(7);
 
+/// Whether a cycle has read all input.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CycleStatus {
+    /// An event announces further input.
+    Complete,
+    /// The buffer was full: input is left in the socket that no event announces again.
+    MoreInput,
+}
+
 /// The connection of a watch.
 pub(super) struct WatchConnection {
     stream: TcpStream,
@@ -41,6 +50,8 @@
     list_started_at: Option<Instant>,
     /// Time limit for a list that has begun.
     list_timeout: Duration,
+    /// Scheduled if no event will announce the remaining input.
+    next_cycle: Resumption,
 }
 
 impl WatchConnection {
@@ -60,6 +71,7 @@
             last_received_at: now,
             list_started_at: None,
             list_timeout,
+            next_cycle: Resumption::default(),
         }
     }
 
@@ -69,6 +81,21 @@
         reactor.register(&mut self.stream, EventSource::Discovery(id), interest)
     }
 
+    /// Lets the reactor resume the watch, to read what a cycle has left in the socket.
+    pub fn schedule_cycle(&mut self, id: ConnectionId, reactor: &mut Reactor) {
+        self.next_cycle.schedule(EventSource::Discovery(id), reactor);
+    }
+
+    /// Returns `true` if the reactor will resume the watch.
+    pub fn is_cycle_scheduled(&self) -> bool {
+        self.next_cycle.is_scheduled()
+    }
+
+    /// Records that the reactor resumes the watch; the caller runs the cycle. Returns `true` if it was scheduled.
+    pub fn take_scheduled_cycle(&mut self) -> bool {
+        self.next_cycle.take()
+    }
+
     /// Returns `true` if the service has begun to answer: the response head is complete and valid.
     pub fn has_response_head(&self) -> bool {
         self.response.has_head()
@@ -95,9 +122,13 @@
         }
     }
 
-    /// Reads and writes until the socket would block. Appends the received messages to `messages`, even if an
-    /// error follows them.
-    pub fn handle_ready(&mut self, now: Instant, messages: &mut Vec<WatchMessage>) -> Result<(), WatchError> {
+    /// Reads at most one buffer and writes until the socket would block. Appends the received messages to
+    /// `messages`, even if an error follows them.
+    pub fn run_cycle(
+        &mut self,
+        now: Instant,
+        messages: &mut Vec<WatchMessage>,
+    ) -> Result<CycleStatus, WatchError> {
         let received_before = self.input.total_received();
         let result = self.transfer(messages);
         if self.response.has_head() && self.input.total_received() > received_before {
@@ -111,27 +142,23 @@
         result
     }
 
-    fn transfer(&mut self, messages: &mut Vec<WatchMessage>) -> Result<(), WatchError> {
+    fn transfer(&mut self, messages: &mut Vec<WatchMessage>) -> Result<CycleStatus, WatchError> {
         if self.stream.peer_addr().is_err() {
             return match self.stream.take_error() {
                 // The connection is still being established.
-                Ok(None) => Ok(()),
+                Ok(None) => Ok(CycleStatus::Complete),
                 _ => Err(WatchError::ConnectFailed),
             };
         }
         self.output.write_to(&mut self.stream).map_err(|_| WatchError::ConnectionLost)?;
-        loop {
-            let status = self.input.read_from(&mut self.stream).map_err(|_| WatchError::ConnectionLost)?;
-            let length_before = self.input.len();
-            self.parse_input(messages)?;
-            match status {
-                ReadStatus::EndOfStream => return Err(WatchError::Ended),
-                ReadStatus::WouldBlock => return Ok(()),
-                ReadStatus::Full if self.input.len() == length_before => {
-                    return Err(WatchError::ResponseTooLong);
-                }
-                ReadStatus::Full => {}
-            }
+        let status = self.input.read_from(&mut self.stream).map_err(|_| WatchError::ConnectionLost)?;
+        let length_before = self.input.len();
+        self.parse_input(messages)?;
+        match status {
+            ReadStatus::EndOfStream => Err(WatchError::Ended),
+            ReadStatus::WouldBlock => Ok(CycleStatus::Complete),
+            ReadStatus::Full if self.input.len() == length_before => Err(WatchError::ResponseTooLong),
+            ReadStatus::Full => Ok(CycleStatus::MoreInput),
         }
     }
 
--- a/src/net/frontend/acceptor.rs
+++ b/src/net/frontend/acceptor.rs
@@ -7,7 +7,7 @@
 use mio::Interest;
 
 use super::log_limiter::LogLimiter;
-use crate::net::reactor::{EventSource, Reactor, TimerEvent};
+use crate::net::reactor::{EventSource, Reactor, Resumption, TimerEvent};
 
 /// Delay before accepting again after the system lacked a file descriptor or memory for a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -30,6 +30,7 @@
     is_closing: bool,
     /// Whether connections may be waiting in the accept queue until the connection limit allows them.
     has_backlog: bool,
+    resumption: Resumption,
     /// Shared by both warnings of the acceptor, so each of them suppresses the other.
     log_limiter: LogLimiter,
 }
@@ -42,6 +43,7 @@
             listener: Some(listener),
             is_closing: false,
             has_backlog: false,
+            resumption: Resumption::default(),
             log_limiter: LogLimiter::default(),
         })
     }
@@ -71,6 +73,16 @@
         std::mem::take(&mut self.has_backlog)
     }
 
+    /// Lets the reactor resume the listener, to accept more connections after other sources had their turn.
+    pub(super) fn schedule(&mut self, reactor: &mut Reactor) {
+        self.resumption.schedule(EventSource::Listener, reactor);
+    }
+
+    /// Records that the reactor resumes the listener.
+    pub(super) fn take_resumption(&mut self) -> bool {
+        self.resumption.take()
+    }
+
     /// Accepts the next connection in the accept queue. If the system lacks memory or a file descriptor for
     /// it, sets a timer to retry.
     pub(super) fn accept(&mut self, now: Instant, reactor: &mut Reactor) -> AcceptStatus {
--- a/src/net/frontend/connection.rs
+++ b/src/net/frontend/connection.rs
@@ -14,11 +14,12 @@
 use super::session::{MessageStatus, Session};
 use super::socket::ClientSocket;
 use crate::net::buffer::{MemoryBudget, ReadStatus};
-use crate::net::reactor::{ConnectionId, TimerEvent};
+use crate::net::reactor::{ConnectionId, EventSource, Resumption, TimerEvent};
 use crate::net::{CancelKey, Context, Response};
 
-/// Maximum number of messages of one connection that are processed in one cycle. Prevents a client that sends
-/// continuously from blocking the event loop.
+/// Maximum number of messages of one connection that are processed in one cycle. Together with the size of the
+/// input buffer, of which a cycle reads one, it prevents a client that sends continuously from blocking the
+/// event loop.
 const MAX_MESSAGES_PER_CYCLE: usize = 32;
 
 /// Why a batch of messages ended.
@@ -46,8 +47,10 @@
     socket: ClientSocket,
     session: Session,
     deadline: ClientDeadline,
-    /// Whether a timer is set for the next cycle because no event will announce the remaining input.
-    cycle_scheduled: bool,
+    /// Scheduled if no event will announce the remaining input.
+    next_cycle: Resumption,
+    /// Whether the last read left input in the socket, or may have, because the buffer could not grow.
+    socket_has_input: bool,
 }
 
 impl ClientConnection {
@@ -64,7 +67,8 @@
             socket: ClientSocket::new(stream),
             session: Session::new(cancel_key, budget, now),
             deadline: ClientDeadline::new(client_read_timeout),
-            cycle_scheduled: false,
+            next_cycle: Resumption::default(),
+            socket_has_input: false,
         }
     }
 
@@ -75,7 +79,29 @@
 
     /// Returns `true` if a timer rather than an event starts the next cycle of the connection.
     pub(super) fn is_resumed_by_timer(&self) -> bool {
-        self.cycle_scheduled || !self.socket.is_registered()
+        !self.socket.is_registered()
+    }
+
+    /// Returns `true` if the reactor will resume the connection.
+    pub(super) fn is_cycle_scheduled(&self) -> bool {
+        self.next_cycle.is_scheduled()
+    }
+
+    /// Records that the reactor resumes the connection; the caller runs the cycle. Returns `true` if it was
+    /// scheduled.
+    pub(super) fn take_scheduled_cycle(&mut self) -> bool {
+        self.next_cycle.take()
+    }
+
+    /// Returns `true` if the session is idle and no input is left in the socket, as far as is known.
+    pub(super) fn is_idle(&self) -> bool {
+        !self.has_unread_input() && self.session.is_idle()
+    }
+
+    /// Returns `true` if the connection has been idle for at least `timeout`, see
+    /// [`Session::has_been_idle_for`].
+    pub(super) fn has_been_idle_for(&self, timeout: Duration, now: Instant) -> bool {
+        !self.has_unread_input() && self.session.has_been_idle_for(timeout, now)
     }
 
     /// Returns `true` if the client has not performed the expected action in time.
@@ -85,10 +111,11 @@
 
     /// Returns `true` if a graceful shutdown may close the connection: every query received is answered.
     pub(super) fn can_close(&self) -> bool {
-        !self.cycle_scheduled && self.session.is_drained()
+        !self.next_cycle.is_scheduled() && self.session.is_drained()
     }
 
-    /// Reads, processes and writes until the connection would block or a limit of the cycle is reached.
+    /// Reads at most one buffer, processes it and writes until the connection would block. If a limit of the
+    /// cycle is reached first, the reactor resumes the connection after others had their turn.
     pub(super) fn run_cycle(
         &mut self,
         id: ConnectionId,
@@ -97,27 +124,31 @@
     ) -> Result<(), MustClose> {
         self.socket.ensure_registered(id, &mut context.reactor);
         let now = context.reactor.now();
-        let mut cycle = CycleContext { id, service, context };
-        self.cycle_scheduled = false;
-        while !self.session.phase().is_closing() {
-            let status = self.session.read_from(&mut self.socket, now)?;
-            let unprocessed_before = self.session.unprocessed_bytes();
-            if self.process_messages(&mut cycle)? == BatchStatus::LimitReached {
-                self.schedule_cycle(id, now, cycle.context);
-                return Ok(());
-            }
-            // Events are edge-triggered, so no event announces again what did not fit into a full buffer. It
-            // must be read from the socket now that the buffer has free space.
-            if status == ReadStatus::WouldBlock {
-                return Ok(());
-            }
-            let is_stalled = self.session.unprocessed_bytes() == unprocessed_before;
-            if is_stalled && !self.close_if_out_of_memory(id, cycle.context)? {
+        if !self.session.phase().is_closing() {
+            let mut cycle = CycleContext { id, service, context };
+            self.read_and_process(&mut cycle, now)?;
+            if !self.session.phase().is_closing() || !self.socket_has_input {
                 return Ok(());
             }
         }
         self.flush()?;
-        self.discard_input(id, now, cycle.context)
+        self.discard_input(id, context)
+    }
+
+    /// Reads at most one buffer and processes its messages.
+    fn read_and_process(&mut self, cycle: &mut CycleContext, now: Instant) -> Result<(), MustClose> {
+        let status = self.session.read_from(&mut self.socket, now)?;
+        self.socket_has_input = status == ReadStatus::Full;
+        let unprocessed_before = self.session.unprocessed_bytes();
+        let batch = self.process_messages(cycle)?;
+        let made_room = self.session.unprocessed_bytes() != unprocessed_before;
+        // Events are edge-triggered, so no event announces again what did not fit into a full buffer.
+        if batch == BatchStatus::LimitReached || self.socket_has_input && made_room {
+            self.schedule_cycle(cycle.id, cycle.context);
+        } else if self.socket_has_input {
+            self.close_if_out_of_memory(cycle.id, cycle.context)?;
+        }
+        Ok(())
     }
 
     /// Processes the messages in the input one by one. Each is taken only after all previous responses are
@@ -137,32 +168,44 @@
         Ok(BatchStatus::LimitReached)
     }
 
-    fn close_if_out_of_memory(&mut self, id: ConnectionId, context: &mut Context) -> Result<bool, MustClose> {
-        let is_closing = self.session.close_if_out_of_memory(&mut context.counters)?;
-        if is_closing {
+    fn close_if_out_of_memory(&mut self, id: ConnectionId, context: &mut Context) -> Result<(), MustClose> {
+        if self.session.close_if_out_of_memory(&mut context.counters)? {
             self.update_deadline(id, context);
         }
-        Ok(is_closing)
+        Ok(())
     }
 
     /// Discards received input, at most one buffer per cycle, so that a client that sends continuously does
     /// not block the event loop.
-    fn discard_input(
+    fn discard_input(&mut self, id: ConnectionId, context: &mut Context) -> Result<(), MustClose> {
+        if self.session.discard_from(&mut self.socket)? {
+            self.schedule_cycle(id, context);
+        }
+        Ok(())
+    }
+
+    /// Schedules the next cycle, to run after those of the other connections.
+    fn schedule_cycle(&mut self, id: ConnectionId, context: &mut Context) {
+        self.next_cycle.schedule(EventSource::Client(id), &mut context.reactor);
+    }
+
+    /// Writes the output after a response was added. The next query of the client is processed only when the
+    /// connection is resumed: a client whose queries are all answered at once would block the event loop.
+    pub(super) fn write_response(
         &mut self,
         id: ConnectionId,
-        now: Instant,
         context: &mut Context,
     ) -> Result<(), MustClose> {
-        if self.session.discard_from(&mut self.socket)? {
-            self.schedule_cycle(id, now, context);
+        self.flush()?;
+        if self.has_unread_input() {
+            self.schedule_cycle(id, context);
         }
         Ok(())
     }
 
-    /// Schedules the next cycle, to run after those of the other connections.
-    fn schedule_cycle(&mut self, id: ConnectionId, now: Instant, context: &mut Context) {
-        self.cycle_scheduled = true;
-        context.reactor.set_timer(now, TimerEvent::Client(id));
+    /// Returns `true` if input is not yet processed, or is left in the socket.
+    fn has_unread_input(&self) -> bool {
+        self.session.unprocessed_bytes() > 0 || self.socket_has_input
     }
 
     /// Writes the output to the socket. Shuts down the sending direction of a closing connection once all
@@ -182,12 +225,12 @@
         Ok(status)
     }
 
-    /// Appends the final response to the running query. The next cycle writes it.
+    /// Appends the final response to the running query. [`write_response`](Self::write_response) writes it.
     pub(super) fn add_response(&mut self, response: Response, now: Instant) -> Result<(), MustClose> {
         self.session.add_response(response, now)
     }
 
-    /// Appends the response to an empty query that waited for an endpoint. The next cycle writes it.
+    /// Appends the response to an empty query that waited for an endpoint. [`write_response`](Self::write_response) writes it.
     pub(super) fn add_response_to_waiting_empty_query(&mut self, now: Instant) -> Result<(), MustClose> {
         self.session.add_response_to_waiting_empty_query(now)
     }
--- a/src/net/frontend/connection_limit.rs
+++ b/src/net/frontend/connection_limit.rs
@@ -11,13 +11,24 @@
 use super::Frontend;
 use crate::net::{CancelKey, Context};
 
+/// Maximum number of connections that are accepted in one turn of the event loop. Prevents clients that connect
+/// continuously from blocking it.
+const MAX_ACCEPTED_PER_TURN: usize = 16;
+/// Maximum number of connections that are accepted at once before the listener is closed. The system limits its
+/// accept queue to this length by default.
+const MAX_ACCEPT_QUEUE: usize = 4096;
+
 impl Frontend {
-    /// Accepts connections until the accept queue is empty or no more can be accepted for now.
+    /// Accepts connections until the accept queue is empty, no more can be accepted for now, or
+    /// [`MAX_ACCEPTED_PER_TURN`] are accepted. In the last case, the reactor resumes the listener.
     pub fn accept(&mut self, context: &mut Context) {
-        while self.acceptor.is_open() {
-            if self.accept_next(context).is_break() {
-                return;
-            }
+        self.accept_up_to(MAX_ACCEPTED_PER_TURN, context);
+    }
+
+    /// Accepts connections that were left for a later turn.
+    pub fn resume_accepting(&mut self, context: &mut Context) {
+        if self.acceptor.take_resumption() {
+            self.accept(context);
         }
     }
 
@@ -25,16 +36,25 @@
     /// connection limit is reached. Queries are still served until [`start_draining`](Self::start_draining).
     pub fn stop_accepting(&mut self, context: &mut Context) {
         self.acceptor.close_once_queue_is_empty();
-        self.accept(context);
+        self.accept_up_to(MAX_ACCEPT_QUEUE, context);
     }
 
-    /// Accepts connections that were left in the accept queue.
-    pub(super) fn resume_accepting(&mut self, context: &mut Context) {
+    /// Accepts connections that were left in the accept queue because of the connection limit.
+    pub(super) fn accept_waiting(&mut self, context: &mut Context) {
         if self.acceptor.take_backlog() {
             self.accept(context);
         }
     }
 
+    fn accept_up_to(&mut self, limit: usize, context: &mut Context) {
+        for _ in 0..limit {
+            if !self.acceptor.is_open() || self.accept_next(context).is_break() {
+                return;
+            }
+        }
+        self.acceptor.schedule(&mut context.reactor);
+    }
+
     /// Accepts one connection. Breaks if no more can be accepted for now.
     fn accept_next(&mut self, context: &mut Context) -> ControlFlow<()> {
         let now = context.reactor.now();
@@ -42,7 +62,7 @@
             Capacity::Available => None,
             Capacity::Evict(id) => {
                 // The socket may already hold new input, which makes the connection busy.
-                self.ready(id, context);
+                self.run_cycle(id, context);
                 if !self.connections.is_evictable(id) {
                     return ControlFlow::Continue(());
                 }
@@ -76,6 +96,6 @@
             ClientConnection::new(stream, cancel_key, &self.budget, self.client_read_timeout, now);
         let id = self.connections.insert(connection);
         context.counters.clients_accepted += 1;
-        self.ready(id, context);
+        self.run_cycle(id, context);
     }
 }
--- a/src/net/frontend/connections.rs
+++ b/src/net/frontend/connections.rs
@@ -80,10 +80,13 @@
     }
 
     /// Returns the ID of the matching connection that has been inactive for longest.
-    pub(super) fn least_recently_active(&self, matches: impl Fn(&Session) -> bool) -> Option<ConnectionId> {
+    pub(super) fn least_recently_active(
+        &self,
+        matches: impl Fn(&ClientConnection) -> bool,
+    ) -> Option<ConnectionId> {
         self.table
             .iter()
-            .filter(|(_, connection)| matches(connection.session()))
+            .filter(|(_, connection)| matches(connection))
             .min_by_key(|(_, connection)| connection.session().last_active_at())
             .map(|(id, _)| id)
     }
@@ -95,17 +98,17 @@
             return Capacity::Available;
         }
         let half_closed = self.least_recently_active(is_half_closed);
-        let candidate = half_closed.or_else(|| self.least_recently_active(Session::is_idle));
+        let candidate = half_closed.or_else(|| self.least_recently_active(ClientConnection::is_idle));
         candidate.map_or(Capacity::Exhausted, Capacity::Evict)
     }
 
     /// Returns `true` if the connection with this ID can still be evicted for a new one.
     pub(super) fn is_evictable(&mut self, id: ConnectionId) -> bool {
         let Some(connection) = self.table.get_mut(id) else { return false };
-        is_half_closed(connection.session()) || connection.session().is_idle()
+        is_half_closed(connection) || connection.is_idle()
     }
 }
 
-fn is_half_closed(session: &Session) -> bool {
-    session.phase() == Phase::HalfClosed
+fn is_half_closed(connection: &ClientConnection) -> bool {
+    connection.session().phase() == Phase::HalfClosed
 }
--- a/src/net/frontend/idle.rs
+++ b/src/net/frontend/idle.rs
@@ -4,8 +4,8 @@
 
 use std::time::{Duration, Instant};
 
+use super::connection::ClientConnection;
 use super::connections::ClientConnections;
-use super::session::Session;
 use crate::net::reactor::ConnectionId;
 
 /// Interval between two sweeps for idle connections.
@@ -27,13 +27,13 @@
     /// depends on the number of open connections.
     pub(super) fn find(connections: &ClientConnections, now: Instant) -> Option<IdleConnection> {
         let timeout = idle_timeout(connections.count_open(), connections.limit())?;
-        let id = connections.least_recently_active(|session| session.has_been_idle_for(timeout, now))?;
+        let id = connections.least_recently_active(|client| client.has_been_idle_for(timeout, now))?;
         Some(IdleConnection { id, timeout })
     }
 
-    /// Returns `true` if the connection has been idle for its timeout at `now`. `session` is its session.
-    pub(super) fn is_still_idle(&self, session: &Session, now: Instant) -> bool {
-        session.has_been_idle_for(self.timeout, now)
+    /// Returns `true` if the connection, which the caller has looked up, has been idle for its timeout at `now`.
+    pub(super) fn is_still_idle(&self, connection: &ClientConnection, now: Instant) -> bool {
+        connection.has_been_idle_for(self.timeout, now)
     }
 }
 
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -45,7 +45,7 @@
 use super::{CancelKey, Context, Event, Response};
 use crate::counters::Counters;
 use acceptor::Acceptor;
-use connection::GracefulClose;
+use connection::{ClientConnection, GracefulClose};
 use connections::ClientConnections;
 use error::MustClose;
 use idle::{IdleConnection, IDLE_SWEEP_INTERVAL};
@@ -95,8 +95,23 @@
         self.connections.len() == 0 && !self.acceptor.is_open()
     }
 
-    /// Runs a cycle of a connection that has become readable or writable.
+    /// Handles a connection that has become readable or writable. One that will be resumed has used up its share
+    /// of this turn.
     pub fn ready(&mut self, id: ConnectionId, context: &mut Context) {
+        if self.connections.get_mut(id).is_some_and(|connection| !connection.is_cycle_scheduled()) {
+            self.run_cycle(id, context);
+        }
+    }
+
+    /// Resumes a connection that had more input than its share of an earlier turn.
+    pub fn resume(&mut self, id: ConnectionId, context: &mut Context) {
+        if self.connections.get_mut(id).is_some_and(ClientConnection::take_scheduled_cycle) {
+            self.run_cycle(id, context);
+        }
+    }
+
+    /// Runs a cycle of a connection.
+    fn run_cycle(&mut self, id: ConnectionId, context: &mut Context) {
         let Some(connection) = self.connections.get_mut(id) else { return };
         let result = connection.run_cycle(id, self.service, context);
         self.finish_cycle(id, result, context);
@@ -107,12 +122,12 @@
         self.finish_cycle(id, Err(MustClose::ClientDisconnected), context);
     }
 
-    /// Handles an expired timer of a connection: runs its next cycle if it was left to a timer, and closes
+    /// Handles an expired timer of a connection: runs its next cycle if that was left to a timer, and closes
     /// the connection if the client has missed its deadline.
     pub fn timer_expired(&mut self, id: ConnectionId, context: &mut Context) {
         let now = context.reactor.now();
         if self.connections.get_mut(id).is_some_and(|connection| connection.is_resumed_by_timer()) {
-            self.ready(id, context);
+            self.run_cycle(id, context);
         }
         let Some(connection) = self.connections.get_mut(id) else { return };
         // Timers are not cancelled, so this one may belong to an earlier deadline.
@@ -131,9 +146,9 @@
         context.reactor.set_timer(now + IDLE_SWEEP_INTERVAL, TimerEvent::IdleSweep);
         while let Some(idle) = IdleConnection::find(&self.connections, now) {
             // The socket may already hold new input, which ends the idle time.
-            self.ready(idle.id, context);
+            self.run_cycle(idle.id, context);
             let Some(connection) = self.connections.get_mut(idle.id) else { continue };
-            if !idle.is_still_idle(connection.session(), now) {
+            if !idle.is_still_idle(connection, now) {
                 continue;
             }
             connection.close_gracefully(idle.id, GracefulClose::Idle, context);
@@ -152,7 +167,7 @@
         count_response(&response, &mut context.counters);
         let result = connection
             .add_response(response, context.reactor.now())
-            .and_then(|()| connection.run_cycle(id, self.service, context));
+            .and_then(|()| connection.write_response(id, context));
         self.finish_cycle(id, result, context);
     }
 
@@ -176,7 +191,7 @@
         let Some(connection) = self.connections.get_mut(id) else { return };
         let result = connection
             .add_response_to_waiting_empty_query(context.reactor.now())
-            .and_then(|()| connection.run_cycle(id, self.service, context));
+            .and_then(|()| connection.write_response(id, context));
         self.finish_cycle(id, result, context);
     }
 
@@ -185,7 +200,7 @@
     pub fn start_draining(&mut self, drain: Drain, context: &mut Context) {
         self.service.start_draining(drain);
         for id in self.connections.ids() {
-            self.ready(id, context);
+            self.run_cycle(id, context);
         }
     }
 
@@ -215,7 +230,7 @@
             self.connections.remove(id, reason);
         }
         if is_closed || !is_busy {
-            self.resume_accepting(context);
+            self.accept_waiting(context);
         }
     }
 }
--- a/src/net/frontend/tests.rs
+++ b/src/net/frontend/tests.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 
 use mio::{Events, Poll};
 
@@ -30,17 +30,27 @@
 /// Timeout for reads of the client, so that no test hangs.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// A frontend with a connection limit of one, and one client.
+/// A frontend and one client.
 struct Fixture {
     poll: Poll,
     context: Context,
     frontend: Frontend,
     client: TcpStream,
+    /// The address of the listener.
+    address: SocketAddr,
 }
 
 impl Fixture {
     /// Connects a client. The first `failing_registrations` attempts to register its socket fail.
     fn new(failing_registrations: usize) -> Fixture {
+        let mut fixture = Fixture::with_connection_limit(1);
+        fixture.context.reactor.failing_registrations = failing_registrations;
+        fixture.frontend.accept(&mut fixture.context);
+        fixture
+    }
+
+    /// Connects a client, which is not yet accepted.
+    fn with_connection_limit(max_connections: usize) -> Fixture {
         let poll = Poll::new().unwrap();
         let reactor = Reactor::new(&poll).unwrap();
         let mut context = Context { reactor, events: VecDeque::new(), counters: Counters::default() };
@@ -48,12 +58,11 @@
         socket2::SockRef::from(&listener).set_send_buffer_size(SOCKET_BUFFER).unwrap();
         let address = listener.local_addr().unwrap();
         let budget = MemoryBudget::new(MEMORY);
-        let mut frontend = Frontend::new(listener, 1, LONGEST_DEADLINE, budget, 1, &mut context).unwrap();
+        let frontend =
+            Frontend::new(listener, max_connections, LONGEST_DEADLINE, budget, 1, &mut context).unwrap();
         let client = TcpStream::connect(address).unwrap();
         socket2::SockRef::from(&client).set_recv_buffer_size(SOCKET_BUFFER).unwrap();
-        context.reactor.failing_registrations = failing_registrations;
-        frontend.accept(&mut context);
-        Fixture { poll, context, frontend, client }
+        Fixture { poll, context, frontend, client, address }
     }
 
     fn connection_id(&self) -> ConnectionId {
@@ -82,6 +91,38 @@
     }
 }
 
+/// Guards against an event loop that serves one client for as long as each response lets its next query in.
+#[test]
+fn a_response_lets_the_next_query_in_only_when_the_connection_is_resumed() {
+    let mut fixture = Fixture::new(0);
+    let id = fixture.connection_id();
+    let query = postgres::query_message(QUERY);
+    fixture.client.write_all(&[STARTUP, &query, &query].concat()).unwrap();
+    while fixture.connection().session().unprocessed_bytes() != query.len() {
+        fixture.frontend.ready(id, &mut fixture.context);
+    }
+    fixture.frontend.respond(id, Response::Failed, &mut fixture.context);
+    assert_eq!(fixture.connection().session().phase(), Phase::Idle);
+    assert_eq!(fixture.context.events.len(), 1, "only the first query is passed on");
+    fixture.frontend.resume(id, &mut fixture.context);
+    assert_eq!(fixture.connection().session().phase(), Phase::Busy);
+    assert_eq!(fixture.context.events.len(), 2);
+}
+
+/// Guards against an event loop that accepts connections for as long as clients connect.
+#[test]
+fn the_listener_accepts_a_limited_number_of_connections_in_a_turn() {
+    let mut fixture = Fixture::with_connection_limit(100);
+    let _others: Vec<_> = (0..29).map(|_| TcpStream::connect(fixture.address).unwrap()).collect();
+    fixture.frontend.accept(&mut fixture.context);
+    assert_eq!(fixture.frontend.connections.len(), 16);
+    fixture.frontend.resume_accepting(&mut fixture.context);
+    assert_eq!(fixture.frontend.connections.len(), 30);
+    // The accept queue is empty, so the listener waits for its next event.
+    fixture.frontend.resume_accepting(&mut fixture.context);
+    assert_eq!(fixture.frontend.connections.len(), 30);
+}
+
 /// Guards against resetting a connection when the system lacks the memory to register its socket.
 #[test]
 fn a_client_is_served_although_its_registration_fails_at_first() {
--- a/src/net/pooler/mod.rs
+++ b/src/net/pooler/mod.rs
@@ -56,7 +56,8 @@
 
 impl Pooler {
     /// Handles all queued events. Each event is handled only after all actions caused by the previous one are
-    /// executed.
+    /// executed. A response lets no further query of its client in before the connection is resumed, so that
+    /// the queue becomes empty.
     fn process_events(&mut self, context: &mut Context) {
         while let Some(event) = context.events.pop_front() {
             match event {
@@ -122,6 +123,18 @@
         self.process_events(context);
     }
 
+    fn resume(&mut self, source: EventSource, context: &mut Context) {
+        match source {
+            EventSource::Listener => self.frontend.resume_accepting(context),
+            EventSource::Client(client) => self.frontend.resume(client, context),
+            EventSource::Backend(connection) => self.backend.resume(connection, context),
+            EventSource::Discovery(watch) => self.discovery.resume(watch, context),
+            // Signals are handled all at once.
+            EventSource::Signals => {}
+        }
+        self.process_events(context);
+    }
+
     fn timer_expired(&mut self, timer: TimerEvent, context: &mut Context) {
         match timer {
             TimerEvent::Policy(cookie) => {
--- a/src/net/reactor/mod.rs
+++ b/src/net/reactor/mod.rs
@@ -1,7 +1,11 @@
 //! Event loop: polls sockets, signals and timers and dispatches their events to a [`Handler`].
+//!
+//! In each turn of the loop, a handler does a limited share of the work that a source has at hand. It leaves the
+//! rest to a later turn with [`Resumption::schedule`], so that no source keeps the loop to itself.
 
 mod clock;
 mod connection_table;
+mod run_queue;
 mod stopwatch;
 #[cfg(test)]
 mod tests;
@@ -19,6 +23,8 @@
 use clock::Clock;
 pub(crate) use clock::{duration_of, span_of};
 pub(crate) use connection_table::{ConnectionId, ConnectionTable};
+pub(crate) use run_queue::Resumption;
+use run_queue::RunQueue;
 use stopwatch::Stopwatch;
 pub(crate) use timers::TimerEvent;
 use timers::TimerQueue;
@@ -26,11 +32,14 @@
 
 /// Maximum number of events returned by one poll.
 const MAX_EVENTS_PER_POLL: usize = 256;
+/// Time in each turn of the loop for sources that are resumed. Those left over come first in the next turn.
+const RESUME_TIME_SLICE: Duration = Duration::from_millis(5);
 
 /// Registry of event sources, timers and clock.
 pub(crate) struct Reactor {
     registry: Registry,
     timers: TimerQueue,
+    run_queue: RunQueue,
     clock: Clock,
     /// Number of upcoming registrations that fail as if the system were out of memory.
     #[cfg(test)]
@@ -43,6 +52,7 @@
         Ok(Reactor {
             registry: poll.registry().try_clone()?,
             timers: TimerQueue::default(),
+            run_queue: RunQueue::default(),
             clock: Clock::start(),
             #[cfg(test)]
             failing_registrations: 0,
@@ -87,8 +97,12 @@
         self.timers.push(at, event);
     }
 
-    /// Returns the time until the next timer expires, or `None` if no timer is set.
+    /// Returns the time until the next timer expires, or `None` if no timer is set. Zero if a source waits to
+    /// be resumed.
     fn poll_timeout(&self) -> Option<Duration> {
+        if !self.run_queue.is_empty() {
+            return Some(Duration::ZERO);
+        }
         let next_expiry = self.timers.next_expiry()?;
         Some(next_expiry.saturating_duration_since(self.now()))
     }
@@ -107,6 +121,8 @@
 pub(crate) trait Handler {
     /// Called when a source has become ready.
     fn ready(&mut self, source: EventSource, readiness: Readiness, context: &mut Context);
+    /// Called for a source whose [`Resumption`] is scheduled.
+    fn resume(&mut self, source: EventSource, context: &mut Context);
     /// Called when a timer has expired.
     fn timer_expired(&mut self, event: TimerEvent, context: &mut Context);
     /// Returns `true` if the loop should stop.
@@ -123,6 +139,7 @@
         }
         handle_poll_events(&events, handler, context);
         handle_expired_timers(handler, context);
+        resume_sources(handler, context);
     }
     Ok(())
 }
@@ -148,13 +165,28 @@
     }
 }
 
-/// Handles all expired timers. The clock is read once, so that a timer which a handler sets for the current
-/// time is handled in the next iteration, after the sockets were polled.
+/// Handles the timers that have expired now. A timer that a handler sets meanwhile is handled in the next turn
+/// at the earliest, after the sockets were polled.
 fn handle_expired_timers(handler: &mut impl Handler, context: &mut Context) {
     let now = context.reactor.now();
+    let expired = context.reactor.timers.take_expired(now);
     let mut stopwatch = Stopwatch::start(&context.reactor);
-    while let Some(event) = context.reactor.timers.pop_expired(now) {
+    for event in expired {
         handler.timer_expired(event, context);
         stopwatch.record_callback(event, context);
     }
 }
+
+/// Resumes the sources that wait for it, each at most once, until [`RESUME_TIME_SLICE`] is used up.
+fn resume_sources(handler: &mut impl Handler, context: &mut Context) {
+    let mut stopwatch = Stopwatch::start(&context.reactor);
+    let slice_ends_at = stopwatch.last_ended_at() + RESUME_TIME_SLICE;
+    for _ in 0..context.reactor.run_queue.len() {
+        let Some(source) = context.reactor.run_queue.pop() else { return };
+        handler.resume(source, context);
+        stopwatch.record_callback(source, context);
+        if stopwatch.last_ended_at() >= slice_ends_at {
+            return;
+        }
+    }
+}
--- a/src/net/reactor/stopwatch.rs
+++ b/src/net/reactor/stopwatch.rs
@@ -22,6 +22,11 @@
         Stopwatch { last_ended_at: reactor.now() }
     }
 
+    /// Returns when the last callback ended, or the start if there was none.
+    pub(super) fn last_ended_at(&self) -> Instant {
+        self.last_ended_at
+    }
+
     /// Records the end of the callback for `event`, and starts to measure the next one.
     pub(super) fn record_callback(&mut self, event: impl Debug, context: &mut Context) {
         let now = context.reactor.now();
--- a/src/net/reactor/tests.rs
+++ b/src/net/reactor/tests.rs
@@ -1,15 +1,71 @@
-//! Tests of the connection table, event tokens, timer queue and clock.
+//! Tests of the event loop, connection table, event tokens, timer queue and clock.
+
+use std::collections::VecDeque;
 
 use mio::Token;
 use rstest::rstest;
 
 use super::connection_table::MAX_GENERATION;
 use super::*;
+use crate::counters::Counters;
 use crate::time::Span;
 
 /// System time at the start of the clock (Unix seconds).
 const UNIX_SECONDS: f64 = 1_764_700_000.0;
 
+/// A handler with two sources that have more work at hand whenever they are resumed, until a timer expires.
+#[derive(Default)]
+struct BusyHandler {
+    resumptions: [Resumption; 2],
+    /// The sources in the order in which they were resumed.
+    resumed: Vec<usize>,
+    is_finished: bool,
+}
+
+impl BusyHandler {
+    fn schedule(&mut self, index: usize, context: &mut Context) {
+        let id = ConnectionId { index: index as u32, generation: 0 };
+        self.resumptions[index].schedule(EventSource::Client(id), &mut context.reactor);
+    }
+}
+
+impl Handler for BusyHandler {
+    fn ready(&mut self, _: EventSource, _: Readiness, _: &mut Context) {}
+
+    fn resume(&mut self, source: EventSource, context: &mut Context) {
+        let EventSource::Client(id) = source else { return };
+        let index = id.index as usize;
+        assert!(self.resumptions[index].take());
+        self.resumed.push(index);
+        // Scheduling it twice has no further effect.
+        self.schedule(index, context);
+        self.schedule(index, context);
+    }
+
+    fn timer_expired(&mut self, _: TimerEvent, _: &mut Context) {
+        self.is_finished = true;
+    }
+
+    fn is_finished(&self) -> bool {
+        self.is_finished
+    }
+}
+
+#[test]
+fn sources_that_always_have_more_work_take_turns_and_do_not_hold_up_timers() {
+    let mut poll = Poll::new().unwrap();
+    let reactor = Reactor::new(&poll).unwrap();
+    let mut context = Context { reactor, events: VecDeque::new(), counters: Counters::default() };
+    let mut handler = BusyHandler::default();
+    handler.schedule(0, &mut context);
+    handler.schedule(1, &mut context);
+    let expires_at = context.reactor.now() + Duration::from_millis(20);
+    context.reactor.set_timer(expires_at, TimerEvent::IdleSweep);
+    run(&mut poll, &mut handler, &mut context).unwrap();
+    assert!(handler.resumed.len() > 2);
+    assert!(handler.resumed.windows(2).all(|pair| pair[0] != pair[1]), "the sources take turns");
+}
+
 #[test]
 fn stale_connection_id_does_not_reach_the_next_connection_in_its_slot() {
     let mut connections = ConnectionTable::new();
--- a/src/net/reactor/timers.rs
+++ b/src/net/reactor/timers.rs
@@ -15,8 +15,8 @@
     RetryAccept,
     /// Close idle client connections.
     IdleSweep,
-    /// A client connection has reached its deadline, must run its next cycle (input is left for which no poll
-    /// event comes), or must be registered again after the system was out of memory.
+    /// A client connection has reached its deadline, or must be registered again after the system was out of
+    /// memory.
     Client(ConnectionId),
     /// Deadline of a connection to an endpoint.
     Backend(ConnectionId),
@@ -81,6 +81,11 @@
         Some(next.expires_at)
     }
 
+    /// Removes the timers that have expired by `now` and returns their events in order.
+    pub fn take_expired(&mut self, now: Instant) -> Vec<TimerEvent> {
+        std::iter::from_fn(|| self.pop_expired(now)).collect()
+    }
+
     /// Removes the next timer and returns its event, if the timer has expired by `now`.
     pub fn pop_expired(&mut self, now: Instant) -> Option<TimerEvent> {
         if self.next_expiry()? > now {
--- a/tests/loopback/harness/wire.rs
+++ b/tests/loopback/harness/wire.rs
@@ -9,6 +9,7 @@
     pub const EMPTY_QUERY_RESPONSE: u8 = b'I';
     pub const ERROR_RESPONSE: u8 = b'E';
     pub const FLUSH: u8 = b'H';
+    pub const NOTICE_RESPONSE: u8 = b'N';
     pub const PARAMETER_STATUS: u8 = b'S';
     pub const QUERY: u8 = b'Q';
     pub const READY_FOR_QUERY: u8 = b'Z';
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -14,6 +14,7 @@
 mod deadlines;
 mod discovery;
 mod discovery_outages;
+mod fairness;
 mod harness;
 mod hedging;
 mod log_lines;
