Synchronize an endpoint connection by an empty query after each reply

Cause: a connection went back to the pool as soon as ReadyForQuery was read. A second copy of the answer, 0.2 ms behind, was taken for the answer to the next query if that was sent in between; each later request on the connection then got the answer of the one before. In the same way a result behind the startup's response answered the first query, and a ReadyForQuery without a result left a connection in use whose answer was still to come.

Ruled out: copies that came while the connection was idle (1,096 of 1,099, each closed its connection), and answers exchanged within the pooler.

Change: after each reply the connection sends an empty query and is idle again once exactly its response has come; what the host sent before comes first. A request that finds no idle connection waits for one that is being synchronized. If that fails, a new socket takes its place, as nothing was sent. A connection to an endpoint that no longer serves is closed behind its last reply.

--- a/src/net/backend/close_reason.rs
+++ b/src/net/backend/close_reason.rs
@@ -11,6 +11,9 @@
     /// It was idle, and the endpoint closed it, sent something, or its idle timeout passed.
     #[error("idle: {0:?}")]
     IdleEnded(Outcome),
+    /// It was not reused: something else than the response to an empty query came, or nothing in time.
+    #[error("not synchronized: {0:?}")]
+    NotSynchronized(Outcome),
     /// It was idle, and was found closed or with unread input before a query was sent.
     #[error("not usable")]
     Unusable,
--- a/src/net/backend/connection.rs
+++ b/src/net/backend/connection.rs
@@ -10,6 +10,7 @@
 use super::exchange::Exchange;
 use super::reply::{Reply, ReplyError, ReplyStatus};
 use super::state::{ConnectionState, ExpiryResult, WriteStatus};
+use super::synchronization::SyncStatus;
 use crate::interface::{EndpointId, Outcome};
 use crate::net::buffer::{MemoryBudget, MemoryReservation, ReadStatus, RingBuffer};
 use crate::net::postgres::{self, sqlstate, BackendMessage, BackendMessageKind};
@@ -32,13 +33,21 @@
 /// loop. A reply has far fewer.
 const MAX_MESSAGES_PER_CYCLE: usize = 256;
 
-/// Status of an exchange.
+/// A query without a statement. Endpoints answer it at once, and it has no effect.
+const EMPTY_QUERY: &[u8] = b"";
+
+/// Status of an exchange, or of a connection without one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ExchangeStatus {
     /// The exchange waits for the endpoint.
     Pending,
-    /// The reply is complete and the connection can be reused.
+    /// The reply is complete. The connection can be reused once it is synchronized.
     Done,
+    /// The connection carries no exchange, is synchronized and can be reused.
+    Synchronized,
+    /// The connection could not be synchronized, and an exchange that waits for it is not sent. The outcome is
+    /// [`Outcome::Error`] if the endpoint has sent something else than the response to an empty query.
+    NotSynchronized(Outcome),
     /// The exchange ended with this outcome and the connection must be closed. Also used when the pooler
     /// cancels the exchange, since the rest of the reply is not read.
     Failed(Outcome),
@@ -127,10 +136,16 @@
         self.state.is_idle()
     }
 
+    /// Returns `true` if the connection carries no exchange.
+    pub fn is_unused(&self) -> bool {
+        self.state.is_unused()
+    }
+
     /// Returns `true` if the connection has an exchange whose query is not completely written.
     pub fn has_unsent_query(&self) -> bool {
         match self.state {
             ConnectionState::Connecting(_) | ConnectionState::Starting(_) => true,
+            ConnectionState::Synchronizing { ref next, .. } => next.is_some(),
             ConnectionState::Busy { .. } => self.write_status() == WriteStatus::Pending,
             ConnectionState::Idle => false,
         }
@@ -166,15 +181,49 @@
         self.state.take_exchange()
     }
 
-    /// Ends an exchange whose reply is complete. The connection then stays idle until `idle_deadline`.
-    pub fn finish_exchange(&mut self, idle_deadline: Instant) -> Option<(Exchange, Reply)> {
+    /// Ends an exchange whose reply is complete.
+    pub fn finish_exchange(&mut self) -> Option<(Exchange, Reply)> {
         let finished = self.take_exchange()?;
-        self.state_deadline = idle_deadline;
         // Shrinking a reservation cannot fail.
         let _ = self.value_memory.resize(0);
         Some(finished)
     }
 
+    /// Starts to synchronize a connection without an exchange.
+    pub fn start_synchronizing(&mut self, now: Instant) -> ExchangeStatus {
+        self.state = ConnectionState::synchronizing();
+        self.state_deadline = now + self.connect_timeout;
+        if self.output.push(&postgres::query_message(EMPTY_QUERY)).is_err() {
+            return ExchangeStatus::NotSynchronized(Outcome::NotSent);
+        }
+        self.write_output(now).err().unwrap_or(ExchangeStatus::Pending)
+    }
+
+    /// Lets an exchange wait until the connection, which has none, is synchronized.
+    pub fn start_after_synchronization(&mut self, exchange: Exchange) {
+        if let ConnectionState::Synchronizing { next, .. } = &mut self.state {
+            self.state_deadline = (exchange.started_at() + self.connect_timeout).min(exchange.deadline());
+            *next = Some(exchange);
+        }
+    }
+
+    /// Replaces the socket of a connection that could not be synchronized, for the exchange that waits for it.
+    pub fn reconnect(&mut self, address: SocketAddr, stream: TcpStream) {
+        self.address = address;
+        self.stream = stream;
+        self.input.consume(self.input.len());
+        self.output.consume(self.output.len());
+        if let Some((exchange, _)) = self.take_exchange() {
+            self.state = ConnectionState::Connecting(exchange);
+        }
+    }
+
+    /// Makes a synchronized connection available until `idle_deadline`.
+    pub fn set_idle(&mut self, idle_deadline: Instant) {
+        self.state = ConnectionState::Idle;
+        self.state_deadline = idle_deadline;
+    }
+
     /// Lets the reactor resume the connection if the last cycle left input that no event announces again.
     pub fn schedule_cycle_if_needed(&mut self, id: ConnectionId, reactor: &mut Reactor) {
         if self.has_more_input {
@@ -327,9 +376,18 @@
                 ExchangeStatus::Pending
             }
             ConnectionState::Idle => self.reject_malformed(),
+            ConnectionState::Synchronizing { synchronization, .. } => {
+                match synchronization.record_message(message.kind) {
+                    SyncStatus::Pending => ExchangeStatus::Pending,
+                    SyncStatus::Complete => self.finish_synchronizing(now),
+                    SyncStatus::OutOfSync => self.reject_malformed(),
+                }
+            }
             ConnectionState::Busy { exchange, reply, .. } => {
                 match reply.add_message(message, exchange.task(), &mut self.value_memory) {
                     Ok(ReplyStatus::Incomplete) => ExchangeStatus::Pending,
+                    // Not the reply to this query, which may still follow.
+                    Ok(ReplyStatus::ReadyForQuery) if reply.outcome().is_none() => self.reject_malformed(),
                     Ok(ReplyStatus::ReadyForQuery) => ExchangeStatus::Done,
                     Ok(ReplyStatus::FatalError) => self.lost_connection_status(),
                     Err(ReplyError::UnexpectedMessage) => self.reject_malformed(),
@@ -339,7 +397,19 @@
         }
     }
 
-    /// Processes a message of the startup phase. Queues the query once the session is ready.
+    /// Handles the end of the synchronization. Queues the query of the exchange that waits for it, if any.
+    fn finish_synchronizing(&mut self, now: Instant) -> ExchangeStatus {
+        if !self.input.is_empty() {
+            return self.reject_malformed();
+        }
+        match self.take_exchange() {
+            Some((exchange, _)) => self.send_query(exchange, now),
+            None => ExchangeStatus::Synchronized,
+        }
+    }
+
+    /// Processes a message of the startup phase. Queues the query once the session is ready, unless there is
+    /// input behind, which would be taken for the reply.
     fn process_startup_message(&mut self, message: &BackendMessage, now: Instant) -> ExchangeStatus {
         match message.kind {
             BackendMessageKind::ParameterStatus => ExchangeStatus::Pending,
@@ -347,6 +417,7 @@
                 ExchangeStatus::Pending
             }
             BackendMessageKind::ErrorResponse => ExchangeStatus::Failed(startup_error_outcome(&message.body)),
+            BackendMessageKind::ReadyForQuery if !self.input.is_empty() => self.reject_malformed(),
             BackendMessageKind::ReadyForQuery => match self.take_exchange() {
                 Some((exchange, _)) => self.send_query(exchange, now),
                 None => ExchangeStatus::Failed(Outcome::NotSent),
@@ -357,12 +428,18 @@
 
     /// Returns how the exchange ends now that the connection is lost.
     fn lost_connection_status(&self) -> ExchangeStatus {
+        if self.state.is_synchronizing() {
+            return ExchangeStatus::NotSynchronized(Outcome::ConnectionReset);
+        }
         ExchangeStatus::Failed(self.state.outcome_of_lost_connection(self.write_status()))
     }
 
     /// Returns how the exchange ends now that the endpoint has sent data that is not part of a valid reply.
     /// Discards the reply unless it proves that the request was not executed.
     fn reject_malformed(&mut self) -> ExchangeStatus {
+        if self.state.is_synchronizing() {
+            return ExchangeStatus::NotSynchronized(Outcome::Error);
+        }
         ExchangeStatus::Malformed(self.state.outcome_of_malformed_reply())
     }
 
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -7,6 +7,7 @@
 //! - [`state`]: connection states and the outcome of an exchange when the connection fails.
 //! - [`exchange`]: execution of one task, with its deadline.
 //! - [`reply`]: the reply to one query.
+//! - [`synchronization`]: what separates a reply from the next one.
 //! - [`close_reason`]: why a connection is closed.
 //! - [`connect_error`]: errors of opening a connection.
 
@@ -17,6 +18,7 @@
 mod pool;
 mod reply;
 mod state;
+mod synchronization;
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -80,13 +82,14 @@
         }
     }
 
-    /// Closes the idle connections to an endpoint.
-    pub fn close_idle_connections(&mut self, endpoint: &EndpointId) {
-        self.pool.close_idle_connections(endpoint, CloseReason::ConnectionShortage);
+    /// Closes the connections to an endpoint that carry no task.
+    pub fn close_unused_connections(&mut self, endpoint: &EndpointId) {
+        self.pool.close_unused_connections(endpoint, CloseReason::ConnectionShortage);
     }
 
-    /// Starts a task and returns its connection, or `None` if none could be opened. If the task ends at once,
-    /// its completion is queued as an event, and the returned connection may already be closed.
+    /// Starts a task and returns its connection, or `None` if none could be opened. The task waits for a connection
+    /// that is being synchronized if none is idle, since opening one takes longer. If the task ends at once, its
+    /// completion is queued as an event, and the returned connection may already be closed.
     pub fn send(
         &mut self,
         task: Task,
@@ -104,6 +107,12 @@
                 return Some(id);
             }
         }
+        let synchronizing = self.pool.find_synchronizing(endpoint);
+        if let Some((id, connection)) = synchronizing.and_then(|id| Some((id, self.pool.get_mut(id)?))) {
+            connection.start_after_synchronization(exchange);
+            context.reactor.set_timer(connection.state_deadline(), TimerEvent::Backend(id));
+            return Some(id);
+        }
         self.send_on_new_connection(exchange, endpoint, context)
     }
 
@@ -224,6 +233,10 @@
                 }
             }
             ExchangeStatus::Done => self.finish_exchange(id, context),
+            ExchangeStatus::Synchronized => self.release(id, context),
+            ExchangeStatus::NotSynchronized(outcome) => {
+                self.handle_failed_synchronization(id, outcome, context);
+            }
             ExchangeStatus::Failed(outcome) => self.close(id, outcome, context),
             ExchangeStatus::Malformed(outcome) => {
                 self.count_malformed(id, context);
@@ -232,26 +245,75 @@
         }
     }
 
-    /// Reports the completion of an exchange and returns its connection to the pool.
+    /// Reports the completion of an exchange, and synchronizes its connection for the next one.
     fn finish_exchange(&mut self, id: ConnectionId, context: &mut Context) {
         let Some(connection) = self.pool.get_mut(id) else { return };
-        let idle_deadline = context.reactor.now() + self.idle_timeout;
-        let Some((exchange, reply)) = connection.finish_exchange(idle_deadline) else { return };
+        let Some((exchange, reply)) = connection.finish_exchange() else { return };
         if connection.has_unread_input() {
             context.counters.unsolicited_messages += 1;
         }
         let endpoint = connection.endpoint().clone();
-        context.reactor.set_timer(idle_deadline, TimerEvent::Backend(id));
-        self.pool.release(id);
         // A reply without a complete result set is invalid, but the request may have been executed.
         let outcome = reply.outcome().unwrap_or(Outcome::Error);
         exchange.complete(&endpoint, outcome, reply, context);
+        self.synchronize(id, context);
+    }
+
+    /// Starts to synchronize a connection without an exchange, or closes it if it may not be reused.
+    fn synchronize(&mut self, id: ConnectionId, context: &mut Context) {
+        if !self.pool.is_reusable(id) {
+            self.pool.remove(id, CloseReason::NotNeeded);
+            return;
+        }
+        let Some(connection) = self.pool.get_mut(id) else { return };
+        let status = connection.start_synchronizing(context.reactor.now());
+        context.reactor.set_timer(connection.state_deadline(), TimerEvent::Backend(id));
+        self.handle_status(id, status, context);
+    }
+
+    /// Closes a connection that could not be synchronized, or replaces its socket if an exchange waits for it.
+    fn handle_failed_synchronization(&mut self, id: ConnectionId, outcome: Outcome, context: &mut Context) {
+        let Some(connection) = self.pool.get_mut(id) else { return };
+        if outcome == Outcome::Error {
+            context.counters.unsolicited_messages += 1;
+        }
+        if connection.is_unused() {
+            self.pool.remove(id, CloseReason::NotSynchronized(outcome));
+        } else {
+            self.reconnect(id, CloseReason::NotSynchronized(outcome), context);
+        }
     }
 
-    /// Counts malformed data, received either during an exchange or on an idle connection.
+    /// Replaces the socket of a connection whose exchange is not sent.
+    fn reconnect(&mut self, id: ConnectionId, reason: CloseReason, context: &mut Context) {
+        let Some(connection) = self.pool.get_mut(id) else { return };
+        let endpoint = connection.endpoint().clone();
+        tracing::info!(%endpoint, connection = %id, %reason, "endpoint connection replaced");
+        let address = self.pool.address(&endpoint).ok_or(ConnectError::UnknownEndpoint);
+        let connected = address.and_then(|address| Ok((address, TcpStream::connect(address)?)));
+        match connected {
+            Ok((address, stream)) => {
+                context.counters.backend_connects += 1;
+                if let Some(connection) = self.pool.get_mut(id) {
+                    connection.reconnect(address, stream);
+                }
+                self.register(id, context);
+            }
+            Err(error) => self.close(id, error.outcome(), context),
+        }
+    }
+
+    /// Returns a synchronized connection to the pool.
+    fn release(&mut self, id: ConnectionId, context: &mut Context) {
+        let idle_deadline = context.reactor.now() + self.idle_timeout;
+        self.pool.release(id, idle_deadline);
+        context.reactor.set_timer(idle_deadline, TimerEvent::Backend(id));
+    }
+
+    /// Counts malformed data, received either during an exchange or on a connection without one.
     fn count_malformed(&mut self, id: ConnectionId, context: &mut Context) {
         let Some(connection) = self.pool.get_mut(id) else { return };
-        if connection.is_idle() {
+        if connection.is_unused() {
             context.counters.unsolicited_messages += 1;
         } else {
             context.counters.malformed_answers += 1;
@@ -260,9 +322,14 @@
 
     /// Closes a connection and reports the completion of its exchange, if any.
     fn close(&mut self, id: ConnectionId, outcome: Outcome, context: &mut Context) {
-        let is_idle = self.pool.get_mut(id).is_some_and(|connection| connection.is_idle());
-        let reason =
-            if is_idle { CloseReason::IdleEnded(outcome) } else { CloseReason::ExchangeEnded(outcome) };
+        let Some(connection) = self.pool.get_mut(id) else { return };
+        let reason = if connection.is_idle() {
+            CloseReason::IdleEnded(outcome)
+        } else if connection.is_unused() {
+            CloseReason::NotSynchronized(outcome)
+        } else {
+            CloseReason::ExchangeEnded(outcome)
+        };
         let Some(mut connection) = self.pool.remove(id, reason) else { return };
         if let Some((exchange, reply)) = connection.take_exchange() {
             exchange.complete(connection.endpoint(), outcome, reply, context);
--- a/src/net/backend/pool.rs
+++ b/src/net/backend/pool.rs
@@ -43,16 +43,6 @@
     fn is_removed(&self) -> bool {
         self.status == EndpointStatus::Removed
     }
-
-    fn close_idle_connections(
-        &mut self,
-        reason: CloseReason,
-        connections: &mut ConnectionTable<BackendConnection>,
-    ) {
-        for id in self.idle.drain(..) {
-            close(id, reason, connections);
-        }
-    }
 }
 
 /// All connections to endpoints.
@@ -69,7 +59,7 @@
     }
 
     /// Applies an update of the endpoint list and returns the endpoints that stop serving with it. Closes
-    /// idle connections to endpoints that have a new address, have restarted, drain or were removed: an
+    /// unused connections to endpoints that have a new address, have restarted, drain or were removed: an
     /// endpoint that was cut off from the network leaves its connections open but never answers.
     pub fn update_endpoints(
         &mut self,
@@ -84,7 +74,7 @@
         for listed in update {
             self.update_endpoint(listed, now);
         }
-        self.close_idle_connections_to_removed();
+        self.close_unused_connections_to_removed();
         self.forget_removed(now);
         for serving in self.serving_endpoints() {
             no_longer_serving.remove(&serving);
@@ -104,10 +94,12 @@
         }
     }
 
-    fn close_idle_connections_to_removed(&mut self) {
-        for endpoint in self.endpoints.values_mut().filter(|endpoint| endpoint.is_removed()) {
-            endpoint.close_idle_connections(CloseReason::EndpointRemoved, &mut self.connections);
-        }
+    fn close_unused_connections_to_removed(&mut self) {
+        let unused = self.connections.iter().filter(|(_, connection)| connection.is_unused());
+        let endpoint = |connection: &BackendConnection| self.endpoints.get(connection.endpoint());
+        let is_removed = |connection| endpoint(connection).is_some_and(PooledEndpoint::is_removed);
+        let ids: Vec<_> = unused.filter(|(_, connection)| is_removed(connection)).map(|(id, _)| id).collect();
+        self.remove_all(ids, CloseReason::EndpointRemoved);
     }
 
     /// Drops removed endpoints that no update has contained for [`REMOVED_ENDPOINT_RETENTION`].
@@ -130,7 +122,7 @@
         endpoint.last_listed_at = now;
         endpoint.status = listed.status;
         if connections_are_stale {
-            self.close_idle_connections(&listed.name, CloseReason::EndpointChanged);
+            self.close_unused_connections(&listed.name, CloseReason::EndpointChanged);
         }
     }
 
@@ -143,10 +135,18 @@
         unsent.map(|(id, _)| id).collect()
     }
 
-    /// Closes the idle connections to an endpoint.
-    pub fn close_idle_connections(&mut self, endpoint: &EndpointId, reason: CloseReason) {
-        let Some(endpoint) = self.endpoints.get_mut(endpoint) else { return };
-        endpoint.close_idle_connections(reason, &mut self.connections);
+    /// Closes the connections to an endpoint that carry no exchange.
+    pub fn close_unused_connections(&mut self, endpoint: &EndpointId, reason: CloseReason) {
+        let unused = self.connections.iter().filter(|(_, connection)| connection.is_unused());
+        let ids: Vec<_> =
+            unused.filter(|(_, connection)| connection.endpoint() == endpoint).map(|(id, _)| id).collect();
+        self.remove_all(ids, reason);
+    }
+
+    fn remove_all(&mut self, ids: Vec<ConnectionId>, reason: CloseReason) {
+        for id in ids {
+            self.remove(id, reason);
+        }
     }
 
     /// Returns the address of an endpoint, if it is known.
@@ -168,19 +168,37 @@
         None
     }
 
-    /// Returns a connection to the pool for reuse. Closes it instead if it is out of sync, if its endpoint
-    /// has a new address or was removed, or if the endpoint has [`MAX_IDLE_PER_ENDPOINT`] idle connections.
-    pub fn release(&mut self, id: ConnectionId) {
+    /// Returns the connection to an endpoint that has been synchronized for the shortest time, without an exchange
+    /// that waits for it.
+    pub fn find_synchronizing(&self, endpoint: &EndpointId) -> Option<ConnectionId> {
+        let synchronizing = self.connections.iter().filter(|(_, connection)| {
+            connection.is_unused() && !connection.is_idle() && connection.endpoint() == endpoint
+        });
+        synchronizing.max_by_key(|(_, connection)| connection.state_deadline()).map(|(id, _)| id)
+    }
+
+    /// Returns `true` if a connection without an exchange may be reused: no input is left, its endpoint serves at
+    /// the same address, and has fewer than [`MAX_IDLE_PER_ENDPOINT`] idle connections.
+    pub fn is_reusable(&mut self, id: ConnectionId) -> bool {
+        let Some(connection) = self.connections.get_mut(id) else { return false };
+        let Some(endpoint) = self.endpoints.get(connection.endpoint()) else { return false };
+        connection.has_empty_buffers()
+            && endpoint.status == EndpointStatus::Serving
+            && endpoint.address == connection.address()
+            && endpoint.idle.len() < MAX_IDLE_PER_ENDPOINT
+    }
+
+    /// Returns a synchronized connection to the pool, or closes it if it may not be reused. It then stays idle until
+    /// `idle_deadline`.
+    pub fn release(&mut self, id: ConnectionId, idle_deadline: Instant) {
+        if !self.is_reusable(id) {
+            self.remove(id, CloseReason::NotNeeded);
+            return;
+        }
         let Some(connection) = self.connections.get_mut(id) else { return };
-        let endpoint = self
-            .endpoints
-            .get_mut(connection.endpoint())
-            .filter(|_| connection.has_empty_buffers())
-            .filter(|endpoint| !endpoint.is_removed() && endpoint.address == connection.address())
-            .filter(|endpoint| endpoint.idle.len() < MAX_IDLE_PER_ENDPOINT);
-        match endpoint {
-            Some(endpoint) => endpoint.idle.push(id),
-            None => drop(close(id, CloseReason::NotNeeded, &mut self.connections)),
+        connection.set_idle(idle_deadline);
+        if let Some(endpoint) = self.endpoints.get_mut(connection.endpoint()) {
+            endpoint.idle.push(id);
         }
     }
 
@@ -190,12 +208,12 @@
         self.connections.len() < self.max_connections || self.evict_idle()
     }
 
-    /// Closes the idle connection that would expire first. Returns `true` if there was one.
+    /// Closes the connection without an exchange that would expire first. Returns `true` if there was one.
     fn evict_idle(&mut self) -> bool {
         let next_to_expire = self
             .connections
             .iter()
-            .filter(|(_, connection)| connection.is_idle())
+            .filter(|(_, connection)| connection.is_unused())
             .min_by_key(|(_, connection)| connection.state_deadline())
             .map(|(id, _)| id);
         next_to_expire.is_some_and(|id| self.remove(id, CloseReason::Evicted).is_some())
--- a/src/net/backend/state.rs
+++ b/src/net/backend/state.rs
@@ -4,6 +4,7 @@
 
 use super::exchange::Exchange;
 use super::reply::Reply;
+use super::synchronization::Synchronization;
 use crate::interface::Outcome;
 
 /// State of a connection.
@@ -12,6 +13,13 @@
     Connecting(Exchange),
     /// The startup message is queued or sent and the session is not ready yet.
     Starting(Exchange),
+    /// An empty query is queued or sent and its response is not complete.
+    Synchronizing {
+        /// The part of the response received so far.
+        synchronization: Synchronization,
+        /// The exchange that follows, if one waits for the connection.
+        next: Option<Exchange>,
+    },
     /// The connection is ready for a query.
     Idle,
     /// A query is queued or sent and its reply is not complete.
@@ -54,6 +62,21 @@
         matches!(self, ConnectionState::Idle)
     }
 
+    /// Returns the state after a reply, before the connection can be used again.
+    pub fn synchronizing() -> ConnectionState {
+        ConnectionState::Synchronizing { synchronization: Synchronization::default(), next: None }
+    }
+
+    /// Returns `true` if the connection is being synchronized.
+    pub fn is_synchronizing(&self) -> bool {
+        matches!(self, ConnectionState::Synchronizing { .. })
+    }
+
+    /// Returns `true` if the connection carries no exchange.
+    pub fn is_unused(&self) -> bool {
+        matches!(self, ConnectionState::Idle | ConnectionState::Synchronizing { next: None, .. })
+    }
+
     /// Returns `true` if a query is queued or sent.
     pub fn is_busy(&self) -> bool {
         matches!(self, ConnectionState::Busy { .. })
@@ -66,6 +89,7 @@
                 Some((exchange, Reply::default()))
             }
             ConnectionState::Busy { exchange, reply, .. } => Some((exchange, reply)),
+            ConnectionState::Synchronizing { next, .. } => next.map(|exchange| (exchange, Reply::default())),
             ConnectionState::Idle => None,
         }
     }
@@ -74,7 +98,9 @@
     /// before its last byte was sent; after that it may have been, unless the reply proves otherwise.
     pub fn outcome_of_lost_connection(&self, query: WriteStatus) -> Outcome {
         match self {
-            ConnectionState::Connecting(_) | ConnectionState::Starting(_) => Outcome::ConnectFailed,
+            ConnectionState::Connecting(_)
+            | ConnectionState::Starting(_)
+            | ConnectionState::Synchronizing { .. } => Outcome::ConnectFailed,
             ConnectionState::Busy { .. } if query == WriteStatus::Pending => Outcome::ConnectFailed,
             ConnectionState::Busy { reply, .. } => reply.outcome().unwrap_or(Outcome::ConnectionReset),
             // Never reported: there is no exchange.
@@ -87,7 +113,9 @@
     /// that it was not.
     pub fn outcome_of_malformed_reply(&mut self) -> Outcome {
         match self {
-            ConnectionState::Connecting(_) | ConnectionState::Starting(_) => Outcome::ConnectFailed,
+            ConnectionState::Connecting(_)
+            | ConnectionState::Starting(_)
+            | ConnectionState::Synchronizing { .. } => Outcome::ConnectFailed,
             ConnectionState::Busy { reply, .. } => match reply.outcome() {
                 Some(outcome) if outcome.proves_not_executed() => outcome,
                 _ => {
@@ -103,7 +131,9 @@
     /// Returns how the exchange ends when the deadline of the state has passed.
     pub fn expiry_result(&self, now: Instant, connect_timeout: Duration, query: WriteStatus) -> ExpiryResult {
         match self {
-            ConnectionState::Connecting(exchange) | ConnectionState::Starting(exchange) => {
+            ConnectionState::Connecting(exchange)
+            | ConnectionState::Starting(exchange)
+            | ConnectionState::Synchronizing { next: Some(exchange), .. } => {
                 if now >= exchange.started_at() + connect_timeout {
                     ExpiryResult::Failed(Outcome::ConnectFailed)
                 } else {
@@ -114,8 +144,10 @@
                 ExpiryResult::Failed(Outcome::ConnectFailed)
             }
             ConnectionState::Busy { reply_started: true, .. } => ExpiryResult::ReplyStalled,
-            // Never reported for `Idle`, which has no exchange.
-            ConnectionState::Busy { .. } | ConnectionState::Idle => ExpiryResult::Failed(Outcome::Timeout),
+            // Never reported for `Idle` and `Synchronizing`, which have no exchange.
+            ConnectionState::Busy { .. }
+            | ConnectionState::Idle
+            | ConnectionState::Synchronizing { next: None, .. } => ExpiryResult::Failed(Outcome::Timeout),
         }
     }
 }
--- a/src/net/pooler/actions.rs
+++ b/src/net/pooler/actions.rs
@@ -39,7 +39,7 @@
                 context.reactor.set_timer(at, TimerEvent::Policy(cookie));
             }
             Action::HealthCheck { endpoint } => self.send_health_check(&endpoint, context),
-            Action::CloseIdleConnections { endpoint } => self.backend.close_idle_connections(&endpoint),
+            Action::CloseIdleConnections { endpoint } => self.backend.close_unused_connections(&endpoint),
             Action::Watch => self.discovery.open_watch(context),
             Action::Log(change) => log_state_change(&change),
         }
--- a/src/net/postgres/backend_messages.rs
+++ b/src/net/postgres/backend_messages.rs
@@ -39,8 +39,7 @@
         BackendMessageKind::RowDescription | BackendMessageKind::CommandComplete => Some(MAX_NAME_BODY),
         BackendMessageKind::Authentication | BackendMessageKind::BackendKeyData => Some(MAX_STARTUP_BODY),
         BackendMessageKind::ReadyForQuery => Some(READY_FOR_QUERY_BODY.len()),
-        // The response to an empty query, which the pooler never sends to an endpoint.
-        BackendMessageKind::EmptyQueryResponse => None,
+        BackendMessageKind::EmptyQueryResponse => Some(0),
     }
 }
 
--- a/tests/loopback/harness/wire.rs
+++ b/tests/loopback/harness/wire.rs
@@ -117,6 +117,11 @@
     encode_message(message_type::READY_FOR_QUERY, b"I")
 }
 
+/// Encodes the complete response to an empty query.
+pub fn empty_query_response() -> Vec<u8> {
+    [encode_message(message_type::EMPTY_QUERY_RESPONSE, b""), ready_for_query()].concat()
+}
+
 /// The role that a database host reports with each response.
 #[derive(Clone, Copy)]
 pub enum Role {
