Check an attempt that has waited for its connection before it is sent

Cause: an attempt was decided when its connection was opened, and its query was written once the session was ready, whatever had become known meanwhile. Only the endpoint list could take unsent queries back.

Ruled out: that the pooler does not believe the host, and a read that was written before.

Change: the pooler asks Policy::allows_send when the connection of a waiting attempt is ready. A strong read needs the primary, other reads the primary or an endpoint that is not known to be too old. Otherwise the attempt ends as not sent, the connection stays in the pool, and the request is dispatched again.

Tests: routing::a_strong_read_whose_connection_comes_up_after_a_failover_goes_to_the_new_primary fails on the code before ('unexpected value in the response'); policy/send_check covers roles, positions and bounds.

--- a/src/net/backend/connection.rs
+++ b/src/net/backend/connection.rs
@@ -15,6 +15,7 @@
 use crate::net::buffer::{MemoryBudget, MemoryReservation, ReadStatus, RingBuffer};
 use crate::net::postgres::{self, sqlstate, BackendMessage, BackendMessageKind};
 use crate::net::reactor::{ConnectionId, EventSource, Reactor, Resumption};
+use crate::net::{AttemptTask, Task};
 
 /// User and database in the startup message.
 const USER: &str = "app";
@@ -28,9 +29,9 @@
 /// Maximum time that a query may stay in the output buffer.
 const QUERY_WRITE_TIMEOUT: Duration = MAX_TIMEOUT_EXCESS.saturating_sub(TRANSMISSION_MARGIN);
 
-/// Maximum number of messages of an endpoint that are processed in one cycle. Together with the size of the input
-/// buffer, of which a cycle reads one, it prevents an endpoint that sends continuously from blocking the event
-/// loop. A reply has far fewer.
+/// Maximum number of messages of an endpoint that are processed in one cycle. Together with the size of the
+/// input buffer, of which a cycle reads one, it prevents an endpoint that sends continuously from blocking
+/// the event loop. A reply has far fewer.
 const MAX_MESSAGES_PER_CYCLE: usize = 256;
 
 /// A query without a statement. Endpoints answer it at once, and it has no effect.
@@ -41,12 +42,14 @@
 pub(super) enum ExchangeStatus {
     /// The exchange waits for the endpoint.
     Pending,
+    /// The connection is ready for the query of an attempt, which the policy has yet to allow.
+    Ready,
     /// The reply is complete. The connection can be reused once it is synchronized.
     Done,
     /// The connection carries no exchange, is synchronized and can be reused.
     Synchronized,
-    /// The connection could not be synchronized, and an exchange that waits for it is not sent. The outcome is
-    /// [`Outcome::Error`] if the endpoint has sent something else than the response to an empty query.
+    /// The connection could not be synchronized, and an exchange that waits for it is not sent. The outcome
+    /// is [`Outcome::Error`] if the endpoint has sent something else than the response to an empty query.
     NotSynchronized(Outcome),
     /// The exchange ended with this outcome and the connection must be closed. Also used when the pooler
     /// cancels the exchange, since the rest of the reply is not read.
@@ -144,7 +147,7 @@
     /// Returns `true` if the connection has an exchange whose query is not completely written.
     pub fn has_unsent_query(&self) -> bool {
         match self.state {
-            ConnectionState::Connecting(_) | ConnectionState::Starting(_) => true,
+            ConnectionState::Connecting(_) | ConnectionState::Starting(_) | ConnectionState::Ready(_) => true,
             ConnectionState::Synchronizing { ref next, .. } => next.is_some(),
             ConnectionState::Busy { .. } => self.write_status() == WriteStatus::Pending,
             ConnectionState::Idle => false,
@@ -168,7 +171,7 @@
         matches!(read, Ok(ReadStatus::WouldBlock)) && self.input.is_empty()
     }
 
-    /// Starts an exchange on an idle connection.
+    /// Starts an exchange on a connection that is ready for it.
     pub fn start(&mut self, exchange: Exchange, now: Instant) -> ExchangeStatus {
         match self.send_query(exchange, now) {
             ExchangeStatus::Pending => self.run_cycle(now),
@@ -207,7 +210,8 @@
         }
     }
 
-    /// Replaces the socket of a connection that could not be synchronized, for the exchange that waits for it.
+    /// Replaces the socket of a connection that could not be synchronized, for the exchange that waits for
+    /// it.
     pub fn reconnect(&mut self, address: SocketAddr, stream: TcpStream) {
         self.address = address;
         self.stream = stream;
@@ -242,8 +246,9 @@
         self.next_cycle.take()
     }
 
-    /// Reads at most one buffer, processes it and writes until the connection would block. Once a reply has started, the rest must
-    /// arrive within the connect timeout: a reply may announce more data than the endpoint ever sends.
+    /// Reads at most one buffer, processes it and writes until the connection would block. Once a reply has
+    /// started, the rest must arrive within the connect timeout: a reply may announce more data than the
+    /// endpoint ever sends.
     pub fn run_cycle(&mut self, now: Instant) -> ExchangeStatus {
         let status = self.process_io(now);
         let has_unread_input = self.has_unread_input();
@@ -264,7 +269,8 @@
         }
     }
 
-    /// Reads at most one buffer, processes it and writes, until the connection would block or the exchange ends.
+    /// Reads at most one buffer, processes it and writes, until the connection would block or the exchange
+    /// ends.
     fn process_io(&mut self, now: Instant) -> ExchangeStatus {
         self.has_more_input = false;
         if matches!(self.state, ConnectionState::Connecting(_)) {
@@ -283,7 +289,7 @@
         if status != ExchangeStatus::Pending {
             return status;
         }
-        // A query may have been queued at the end of the startup.
+        // The query of a health check may have been queued at the end of the startup.
         self.write_output(now).err().unwrap_or(ExchangeStatus::Pending)
     }
 
@@ -348,6 +354,37 @@
         }
     }
 
+    /// Queues the query of an exchange that has waited for the connection. That of an attempt is left to
+    /// [`send_prepared_query`](Self::send_prepared_query).
+    fn prepare_query(&mut self, exchange: Exchange, now: Instant) -> ExchangeStatus {
+        match exchange.task() {
+            Task::HealthCheck => self.send_query(exchange, now),
+            Task::Attempt(_) => {
+                self.state = ConnectionState::Ready(exchange);
+                ExchangeStatus::Ready
+            }
+        }
+    }
+
+    /// Returns the attempt whose query the policy has yet to allow, if any.
+    pub fn prepared_attempt(&self) -> Option<&AttemptTask> {
+        match &self.state {
+            ConnectionState::Ready(exchange) => match exchange.task() {
+                Task::Attempt(attempt) => Some(attempt),
+                Task::HealthCheck => None,
+            },
+            _ => None,
+        }
+    }
+
+    /// Sends the query of the attempt that was waiting for the policy.
+    pub fn send_prepared_query(&mut self, now: Instant) -> ExchangeStatus {
+        match self.prepared_attempt().is_some().then(|| self.take_exchange()).flatten() {
+            Some((exchange, _)) => self.start(exchange, now),
+            None => ExchangeStatus::Pending,
+        }
+    }
+
     /// Queues the query of an exchange. Fails, with none of the query sent, if the deadline has passed or the
     /// output buffer cannot hold the query.
     fn send_query(&mut self, exchange: Exchange, now: Instant) -> ExchangeStatus {
@@ -370,7 +407,7 @@
             return ExchangeStatus::Pending;
         }
         match &mut self.state {
-            ConnectionState::Connecting(_) => self.reject_malformed(),
+            ConnectionState::Connecting(_) | ConnectionState::Ready(_) => self.reject_malformed(),
             ConnectionState::Starting(_) => self.process_startup_message(message, now),
             ConnectionState::Idle if message.kind == BackendMessageKind::ParameterStatus => {
                 ExchangeStatus::Pending
@@ -397,19 +434,19 @@
         }
     }
 
-    /// Handles the end of the synchronization. Queues the query of the exchange that waits for it, if any.
+    /// Handles the end of the synchronization. Prepares the query of the exchange that waits for it, if any.
     fn finish_synchronizing(&mut self, now: Instant) -> ExchangeStatus {
         if !self.input.is_empty() {
             return self.reject_malformed();
         }
         match self.take_exchange() {
-            Some((exchange, _)) => self.send_query(exchange, now),
+            Some((exchange, _)) => self.prepare_query(exchange, now),
             None => ExchangeStatus::Synchronized,
         }
     }
 
-    /// Processes a message of the startup phase. Queues the query once the session is ready, unless there is
-    /// input behind, which would be taken for the reply.
+    /// Processes a message of the startup phase. Prepares the query once the session is ready, unless there
+    /// is input behind, which would be taken for the reply.
     fn process_startup_message(&mut self, message: &BackendMessage, now: Instant) -> ExchangeStatus {
         match message.kind {
             BackendMessageKind::ParameterStatus => ExchangeStatus::Pending,
@@ -419,7 +456,7 @@
             BackendMessageKind::ErrorResponse => ExchangeStatus::Failed(startup_error_outcome(&message.body)),
             BackendMessageKind::ReadyForQuery if !self.input.is_empty() => self.reject_malformed(),
             BackendMessageKind::ReadyForQuery => match self.take_exchange() {
-                Some((exchange, _)) => self.send_query(exchange, now),
+                Some((exchange, _)) => self.prepare_query(exchange, now),
                 None => ExchangeStatus::Failed(Outcome::NotSent),
             },
             _ => self.reject_malformed(),
--- a/src/net/backend/connection/tests.rs
+++ b/src/net/backend/connection/tests.rs
@@ -49,9 +49,13 @@
     let startup_length = postgres::startup_message(USER, DATABASE).len();
     endpoint.read_exact(&mut vec![0; startup_length]).unwrap();
     endpoint.write_all(b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I").unwrap();
+    let mut status = ExchangeStatus::Pending;
     while is_starting(&connection) {
-        assert_eq!(connection.run_cycle(started_at), ExchangeStatus::Pending);
+        assert_eq!(status, ExchangeStatus::Pending);
+        status = connection.run_cycle(started_at);
     }
+    assert_eq!(status, ExchangeStatus::Ready);
+    assert_eq!(connection.send_prepared_query(started_at), ExchangeStatus::Pending);
     assert!(!connection.has_empty_buffers(), "the query should not fit into the socket buffers");
     (connection, endpoint)
 }
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -27,7 +27,7 @@
 
 use super::buffer::MemoryBudget;
 use super::reactor::{ConnectionId, TimerEvent};
-use super::{Context, Task};
+use super::{Context, Event, Task};
 use crate::endpoint_list::ListedEndpoint;
 use crate::interface::{EndpointId, Outcome, UpdateKind};
 use close_reason::CloseReason;
@@ -87,9 +87,9 @@
         self.pool.close_unused_connections(endpoint, CloseReason::ConnectionShortage);
     }
 
-    /// Starts a task and returns its connection, or `None` if none could be opened. The task waits for a connection
-    /// that is being synchronized if none is idle, since opening one takes longer. If the task ends at once, its
-    /// completion is queued as an event, and the returned connection may already be closed.
+    /// Starts a task and returns its connection, or `None` if none could be opened. The task waits for a
+    /// connection that is being synchronized if none is idle, since opening one takes longer. If the task
+    /// ends at once, its completion is queued as an event, and the returned connection may already be closed.
     pub fn send(
         &mut self,
         task: Task,
@@ -163,8 +163,8 @@
         }
     }
 
-    /// Handles a poll event of a connection, which may be readable or writable. One that will be resumed has used
-    /// up its share of this turn.
+    /// Handles a poll event of a connection, which may be readable or writable. One that will be resumed has
+    /// used up its share of this turn.
     pub fn ready(&mut self, id: ConnectionId, context: &mut Context) {
         if self.pool.get_mut(id).is_some_and(|connection| !connection.is_cycle_scheduled()) {
             self.run_cycle(id, context);
@@ -232,6 +232,7 @@
                     connection.schedule_cycle_if_needed(id, &mut context.reactor);
                 }
             }
+            ExchangeStatus::Ready => self.report_ready(id, context),
             ExchangeStatus::Done => self.finish_exchange(id, context),
             ExchangeStatus::Synchronized => self.release(id, context),
             ExchangeStatus::NotSynchronized(outcome) => {
@@ -245,6 +246,35 @@
         }
     }
 
+    /// Asks the pooler whether the query of an attempt may be sent.
+    fn report_ready(&mut self, id: ConnectionId, context: &mut Context) {
+        let attempt = self.pool.get_mut(id).and_then(|connection| connection.prepared_attempt().cloned());
+        if let Some(attempt) = attempt {
+            context.events.push_back(Event::AttemptReady { connection: id, attempt });
+        }
+    }
+
+    /// Sends the query of an attempt that was reported as ready.
+    pub fn send_prepared_query(&mut self, id: ConnectionId, context: &mut Context) {
+        let now = context.reactor.now();
+        let Some(connection) = self.pool.get_mut(id) else { return };
+        let status = connection.send_prepared_query(now);
+        context.reactor.set_timer(connection.state_deadline(), TimerEvent::Backend(id));
+        self.handle_status(id, status, context);
+    }
+
+    /// Ends an attempt that was reported as ready as [`NotSent`](Outcome::NotSent), and keeps its connection.
+    pub fn withdraw_prepared_query(&mut self, id: ConnectionId, context: &mut Context) {
+        let Some(connection) = self.pool.get_mut(id) else { return };
+        if connection.prepared_attempt().is_none() {
+            return;
+        }
+        let Some((exchange, reply)) = connection.take_exchange() else { return };
+        let endpoint = connection.endpoint().clone();
+        exchange.complete(&endpoint, Outcome::NotSent, reply, context);
+        self.release(id, context);
+    }
+
     /// Reports the completion of an exchange, and synchronizes its connection for the next one.
     fn finish_exchange(&mut self, id: ConnectionId, context: &mut Context) {
         let Some(connection) = self.pool.get_mut(id) else { return };
@@ -271,7 +301,8 @@
         self.handle_status(id, status, context);
     }
 
-    /// Closes a connection that could not be synchronized, or replaces its socket if an exchange waits for it.
+    /// Closes a connection that could not be synchronized, or replaces its socket if an exchange waits for
+    /// it.
     fn handle_failed_synchronization(&mut self, id: ConnectionId, outcome: Outcome, context: &mut Context) {
         let Some(connection) = self.pool.get_mut(id) else { return };
         if outcome == Outcome::Error {
--- a/src/net/backend/pool.rs
+++ b/src/net/backend/pool.rs
@@ -168,8 +168,8 @@
         None
     }
 
-    /// Returns the connection to an endpoint that has been synchronized for the shortest time, without an exchange
-    /// that waits for it.
+    /// Returns the connection to an endpoint that has been synchronized for the shortest time, without an
+    /// exchange that waits for it.
     pub fn find_synchronizing(&self, endpoint: &EndpointId) -> Option<ConnectionId> {
         let synchronizing = self.connections.iter().filter(|(_, connection)| {
             connection.is_unused() && !connection.is_idle() && connection.endpoint() == endpoint
@@ -177,8 +177,8 @@
         synchronizing.max_by_key(|(_, connection)| connection.state_deadline()).map(|(id, _)| id)
     }
 
-    /// Returns `true` if a connection without an exchange may be reused: no input is left, its endpoint serves at
-    /// the same address, and has fewer than [`MAX_IDLE_PER_ENDPOINT`] idle connections.
+    /// Returns `true` if a connection without an exchange may be reused: no input is left, its endpoint
+    /// serves at the same address, and has fewer than [`MAX_IDLE_PER_ENDPOINT`] idle connections.
     pub fn is_reusable(&mut self, id: ConnectionId) -> bool {
         let Some(connection) = self.connections.get_mut(id) else { return false };
         let Some(endpoint) = self.endpoints.get(connection.endpoint()) else { return false };
@@ -188,8 +188,8 @@
             && endpoint.idle.len() < MAX_IDLE_PER_ENDPOINT
     }
 
-    /// Returns a synchronized connection to the pool, or closes it if it may not be reused. It then stays idle until
-    /// `idle_deadline`.
+    /// Returns a synchronized connection to the pool, or closes it if it may not be reused. It then stays
+    /// idle until `idle_deadline`.
     pub fn release(&mut self, id: ConnectionId, idle_deadline: Instant) {
         if !self.is_reusable(id) {
             self.remove(id, CloseReason::NotNeeded);
--- a/src/net/backend/state.rs
+++ b/src/net/backend/state.rs
@@ -13,6 +13,8 @@
     Connecting(Exchange),
     /// The startup message is queued or sent and the session is not ready yet.
     Starting(Exchange),
+    /// The connection is ready for the query of an exchange, which the policy has yet to allow.
+    Ready(Exchange),
     /// An empty query is queued or sent and its response is not complete.
     Synchronizing {
         /// The part of the response received so far.
@@ -85,9 +87,9 @@
     /// Switches to `Idle` and returns the exchange, if any, with the part of its reply received so far.
     pub fn take_exchange(&mut self) -> Option<(Exchange, Reply)> {
         match std::mem::replace(self, ConnectionState::Idle) {
-            ConnectionState::Connecting(exchange) | ConnectionState::Starting(exchange) => {
-                Some((exchange, Reply::default()))
-            }
+            ConnectionState::Connecting(exchange)
+            | ConnectionState::Starting(exchange)
+            | ConnectionState::Ready(exchange) => Some((exchange, Reply::default())),
             ConnectionState::Busy { exchange, reply, .. } => Some((exchange, reply)),
             ConnectionState::Synchronizing { next, .. } => next.map(|exchange| (exchange, Reply::default())),
             ConnectionState::Idle => None,
@@ -100,6 +102,7 @@
         match self {
             ConnectionState::Connecting(_)
             | ConnectionState::Starting(_)
+            | ConnectionState::Ready(_)
             | ConnectionState::Synchronizing { .. } => Outcome::ConnectFailed,
             ConnectionState::Busy { .. } if query == WriteStatus::Pending => Outcome::ConnectFailed,
             ConnectionState::Busy { reply, .. } => reply.outcome().unwrap_or(Outcome::ConnectionReset),
@@ -115,6 +118,7 @@
         match self {
             ConnectionState::Connecting(_)
             | ConnectionState::Starting(_)
+            | ConnectionState::Ready(_)
             | ConnectionState::Synchronizing { .. } => Outcome::ConnectFailed,
             ConnectionState::Busy { reply, .. } => match reply.outcome() {
                 Some(outcome) if outcome.proves_not_executed() => outcome,
@@ -133,6 +137,7 @@
         match self {
             ConnectionState::Connecting(exchange)
             | ConnectionState::Starting(exchange)
+            | ConnectionState::Ready(exchange)
             | ConnectionState::Synchronizing { next: Some(exchange), .. } => {
                 if now >= exchange.started_at() + connect_timeout {
                     ExpiryResult::Failed(Outcome::ConnectFailed)
--- a/src/net/backend/synchronization.rs
+++ b/src/net/backend/synchronization.rs
@@ -1,9 +1,9 @@
 //! Synchronization of a connection after a reply.
 //!
-//! An endpoint may send more than belongs to a reply, such as a second copy of it. Nothing in the protocol tells
-//! such a copy from the reply to the next query. Before a connection is used again, the pooler therefore sends an
-//! empty query, whose response (EmptyQueryResponse and ReadyForQuery) no other reply contains: what the endpoint
-//! has sent before comes first.
+//! An endpoint may send more than belongs to a reply, such as a second copy of it. Nothing in the protocol
+//! tells such a copy from the reply to the next query. Before a connection is used again, the pooler
+//! therefore sends an empty query, whose response (EmptyQueryResponse and ReadyForQuery) no other reply
+//! contains: what the endpoint has sent before comes first.
 
 use crate::net::postgres::BackendMessageKind;
 
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -140,8 +140,8 @@
         context.events.push_back(Event::WatchFailed);
     }
 
-    /// Handles a watch whose socket is ready for reading or writing. One that will be resumed has used up its share
-    /// of this turn.
+    /// Handles a watch whose socket is ready for reading or writing. One that will be resumed has used up its
+    /// share of this turn.
     pub fn ready(&mut self, id: ConnectionId, context: &mut Context) {
         if self.watches.get_mut(id).is_some_and(|watch| !watch.is_cycle_scheduled()) {
             self.run_cycle(id, context);
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -91,7 +91,8 @@
         self.next_cycle.is_scheduled()
     }
 
-    /// Records that the reactor resumes the watch; the caller runs the cycle. Returns `true` if it was scheduled.
+    /// Records that the reactor resumes the watch; the caller runs the cycle. Returns `true` if it was
+    /// scheduled.
     pub fn take_scheduled_cycle(&mut self) -> bool {
         self.next_cycle.take()
     }
--- a/src/net/frontend/connection.rs
+++ b/src/net/frontend/connection.rs
@@ -17,9 +17,9 @@
 use crate::net::reactor::{ConnectionId, EventSource, Resumption, TimerEvent};
 use crate::net::{CancelKey, Context, Response};
 
-/// Maximum number of messages of one connection that are processed in one cycle. Together with the size of the
-/// input buffer, of which a cycle reads one, it prevents a client that sends continuously from blocking the
-/// event loop.
+/// Maximum number of messages of one connection that are processed in one cycle. Together with the size of
+/// the input buffer, of which a cycle reads one, it prevents a client that sends continuously from blocking
+/// the event loop.
 const MAX_MESSAGES_PER_CYCLE: usize = 32;
 
 /// Why a batch of messages ended.
@@ -230,7 +230,8 @@
         self.session.add_response(response, now)
     }
 
-    /// Appends the response to an empty query that waited for an endpoint. [`write_response`](Self::write_response) writes it.
+    /// Appends the response to an empty query that waited for an endpoint.
+    /// [`write_response`](Self::write_response) writes it.
     pub(super) fn add_response_to_waiting_empty_query(&mut self, now: Instant) -> Result<(), MustClose> {
         self.session.add_response_to_waiting_empty_query(now)
     }
--- a/src/net/frontend/connection_limit.rs
+++ b/src/net/frontend/connection_limit.rs
@@ -11,11 +11,11 @@
 use super::Frontend;
 use crate::net::{CancelKey, Context};
 
-/// Maximum number of connections that are accepted in one turn of the event loop. Prevents clients that connect
-/// continuously from blocking it.
+/// Maximum number of connections that are accepted in one turn of the event loop. Prevents clients that
+/// connect continuously from blocking it.
 const MAX_ACCEPTED_PER_TURN: usize = 16;
-/// Maximum number of connections that are accepted at once before the listener is closed. The system limits its
-/// accept queue to this length by default.
+/// Maximum number of connections that are accepted at once before the listener is closed. The system limits
+/// its accept queue to this length by default.
 const MAX_ACCEPT_QUEUE: usize = 4096;
 
 impl Frontend {
--- a/src/net/frontend/idle.rs
+++ b/src/net/frontend/idle.rs
@@ -31,7 +31,8 @@
         Some(IdleConnection { id, timeout })
     }
 
-    /// Returns `true` if the connection, which the caller has looked up, has been idle for its timeout at `now`.
+    /// Returns `true` if the connection, which the caller has looked up, has been idle for its timeout at
+    /// `now`.
     pub(super) fn is_still_idle(&self, connection: &ClientConnection, now: Instant) -> bool {
         connection.has_been_idle_for(self.timeout, now)
     }
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -95,8 +95,8 @@
         self.connections.len() == 0 && !self.acceptor.is_open()
     }
 
-    /// Handles a connection that has become readable or writable. One that will be resumed has used up its share
-    /// of this turn.
+    /// Handles a connection that has become readable or writable. One that will be resumed has used up its
+    /// share of this turn.
     pub fn ready(&mut self, id: ConnectionId, context: &mut Context) {
         if self.connections.get_mut(id).is_some_and(|connection| !connection.is_cycle_scheduled()) {
             self.run_cycle(id, context);
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -156,6 +156,13 @@
     ClientDisconnected(ConnectionId),
     /// A CancelRequest with this key was received.
     CancelRequested(CancelKey),
+    /// The connection of an attempt, which had to be opened or synchronized, is ready for its query.
+    AttemptReady {
+        /// The connection to the endpoint.
+        connection: ConnectionId,
+        /// The attempt.
+        attempt: AttemptTask,
+    },
     /// An attempt or a health check has ended.
     TaskCompleted(Box<Completion>),
     /// The endpoint list was updated.
--- a/src/net/pooler/actions.rs
+++ b/src/net/pooler/actions.rs
@@ -4,8 +4,8 @@
 
 use super::Pooler;
 use crate::interface::{Action, EndpointId, RequestId, StateChange};
-use crate::net::reactor::{duration_of, TimerEvent};
-use crate::net::{Context, Response, Task};
+use crate::net::reactor::{duration_of, ConnectionId, TimerEvent};
+use crate::net::{AttemptTask, Context, Response, Task};
 
 impl Pooler {
     /// Executes actions in order.
@@ -62,6 +62,23 @@
         self.requests.record_attempt_sent(&id, number, connection);
     }
 
+    /// Sends the query of an attempt that has waited for its connection, if the policy still allows that.
+    pub(super) fn on_attempt_ready(
+        &mut self,
+        connection: ConnectionId,
+        attempt: &AttemptTask,
+        context: &mut Context,
+    ) {
+        let now = context.reactor.policy_time(context.reactor.now());
+        if self.policy.allows_send(now, &attempt.request, attempt.number) {
+            self.backend.send_prepared_query(connection, context);
+        } else {
+            let AttemptTask { request, number, .. } = attempt;
+            tracing::info!(%request, attempt = number, "attempt withdrawn: its endpoint no longer qualifies");
+            self.backend.withdraw_prepared_query(connection, context);
+        }
+    }
+
     fn send_health_check(&mut self, endpoint: &EndpointId, context: &mut Context) {
         context.counters.health_checks_sent += 1;
         self.backend.send(Task::HealthCheck, endpoint, self.health_check_timeout, context);
--- a/src/net/pooler/mod.rs
+++ b/src/net/pooler/mod.rs
@@ -66,6 +66,9 @@
                 }
                 Event::ClientDisconnected(client) => self.abandon_request(client, context),
                 Event::CancelRequested(key) => self.on_cancel_request(key, context),
+                Event::AttemptReady { connection, attempt } => {
+                    self.on_attempt_ready(connection, &attempt, context);
+                }
                 Event::TaskCompleted(completion) => self.on_task_completed(*completion, context),
                 Event::WatchFailed => self.on_watch_failed(context),
                 Event::WatchAnswered => self.notify_policy(interface::Event::WatchAnswered, context),
--- a/src/net/reactor/mod.rs
+++ b/src/net/reactor/mod.rs
@@ -1,7 +1,7 @@
 //! Event loop: polls sockets, signals and timers and dispatches their events to a [`Handler`].
 //!
-//! In each turn of the loop, a handler does a limited share of the work that a source has at hand. It leaves the
-//! rest to a later turn with [`Resumption::schedule`], so that no source keeps the loop to itself.
+//! In each turn of the loop, a handler does a limited share of the work that a source has at hand. It leaves
+//! the rest to a later turn with [`Resumption::schedule`], so that no source keeps the loop to itself.
 
 mod clock;
 mod connection_table;
@@ -165,8 +165,8 @@
     }
 }
 
-/// Handles the timers that have expired now. A timer that a handler sets meanwhile is handled in the next turn
-/// at the earliest, after the sockets were polled.
+/// Handles the timers that have expired now. A timer that a handler sets meanwhile is handled in the next
+/// turn at the earliest, after the sockets were polled.
 fn handle_expired_timers(handler: &mut impl Handler, context: &mut Context) {
     let now = context.reactor.now();
     let expired = context.reactor.timers.take_expired(now);
--- a/src/net/reactor/run_queue.rs
+++ b/src/net/reactor/run_queue.rs
@@ -35,8 +35,8 @@
 }
 
 impl Resumption {
-    /// Lets the reactor call [`Handler::resume`](super::Handler::resume) for `source`, which owns this object,
-    /// after other sources had their turn. Has no effect if that is already scheduled.
+    /// Lets the reactor call [`Handler::resume`](super::Handler::resume) for `source`, which owns this
+    /// object, after other sources had their turn. Has no effect if that is already scheduled.
     pub fn schedule(&mut self, source: EventSource, reactor: &mut Reactor) {
         if !self.is_scheduled {
             self.is_scheduled = true;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,6 +9,7 @@
 //! | Whether and until when a request may be retried | [`retry`] |
 //! | Giving up a request, and its final answer | [`give_up`] |
 //! | Routing of reads | [`read_routing`] |
+//! | Whether an attempt that has waited for its connection may still be sent | [`send_check`] |
 //! | Freshness of replicas | [`freshness`] |
 //! | Admission control: whether an endpoint can answer in time | [`admission`] |
 //! | Traffic limits of endpoints that are warming up | [`slow_start`] |
@@ -38,6 +39,7 @@
 mod read_routing;
 mod request;
 mod retry;
+mod send_check;
 mod session;
 mod slow_start;
 mod token_bucket;
--- a/tests/loopback/fairness.rs
+++ b/tests/loopback/fairness.rs
@@ -76,8 +76,8 @@
     }
 }
 
-/// Guards against serving one client for as long as it sends: the others got no answer for seconds, and no timer
-/// ran.
+/// Guards against serving one client for as long as it sends: the others got no answer for seconds, and no
+/// timer ran.
 #[rstest]
 #[case::long_invalid_queries(long_invalid_query())]
 #[case::short_queries_of_an_unknown_class(query_of_unknown_class())]
@@ -94,8 +94,8 @@
     expect_timely_responses(&mut usual);
 }
 
-/// Guards against reading one answer for as long as it goes on: no other request was served meanwhile, and the
-/// attempt itself was not given up.
+/// Guards against reading one answer for as long as it goes on: no other request was served meanwhile, and
+/// the attempt itself was not given up.
 #[test]
 fn an_endless_answer_does_not_delay_others_and_is_given_up() {
     let near = DatabaseHost::new();
--- a/tests/loopback/harness/database_host.rs
+++ b/tests/loopback/harness/database_host.rs
@@ -37,8 +37,8 @@
         }
     }
 
-    /// Answers every query with `value` after `service_time`, in the background. Returns the instants at which
-    /// queries are received.
+    /// Answers every query with `value` after `service_time`, in the background. Returns the instants at
+    /// which queries are received.
     pub fn answer_queries(
         self,
         value: &'static [u8],
@@ -156,8 +156,8 @@
         assert!(message.as_ref().is_some_and(is_empty_query), "expected an empty query, got {message:?}");
     }
 
-    /// Answers the empty query by which the pooler synchronizes the connection after a response. Returns as well if
-    /// the pooler closes the connection instead.
+    /// Answers the empty query by which the pooler synchronizes the connection after a response. Returns as
+    /// well if the pooler closes the connection instead.
     fn answer_synchronization(&mut self) {
         if let Some(message) = self.receive() {
             assert!(is_empty_query(&message), "expected an empty query, got {message:?}");
--- a/tests/loopback/malformed_responses.rs
+++ b/tests/loopback/malformed_responses.rs
@@ -97,9 +97,9 @@
     pooler.expect_counters(" malformed_answers=0 unsolicited_messages=1 ");
 }
 
-/// Guards against taking a second copy of a response, which arrives when the next request is already on its way,
-/// for the response to it. Clients were served the values of others, and so were all later requests on the
-/// connection.
+/// Guards against taking a second copy of a response, which arrives when the next request is already on its
+/// way, for the response to it. Clients were served the values of others, and so were all later requests on
+/// the connection.
 #[rstest]
 #[case::result(result_response(b"first", Role::Reader))]
 #[case::error(error_response("42601"))]
--- a/tests/loopback/routing.rs
+++ b/tests/loopback/routing.rs
@@ -1,5 +1,7 @@
 //! Routing: reads go to replicas that are fresh enough, writes to the primary.
 
+use std::time::Duration;
+
 use rstest::rstest;
 
 use crate::harness::*;
@@ -98,3 +100,39 @@
     client.expect_result();
     pooler.expect_counters("attempts_sent=1 success=1");
 }
+
+/// Guards against sending a strong read to a host that has told, while the connection for the read came up,
+/// that it is a replica. It was answered from old data where hosts do not check.
+#[test]
+fn a_strong_read_whose_connection_comes_up_after_a_failover_goes_to_the_new_primary() {
+    let old_primary = DatabaseHost::new();
+    let new_primary = DatabaseHost::new();
+    let discovery = DiscoveryService::new();
+    let old_entry = old_primary.entry("s-1", "here").with_access("writer");
+    let known = EndpointList::snapshot(41, [old_entry, new_primary.entry("s-2", "here")]);
+    let strong =
+        Edit { from: r#"["bounded","session","any","write"]"#, to: r#"["fresh","session","any","write"]"# };
+    let patient = Edit { from: r#""connectTimeout":1"#, to: r#""connectTimeout":8"# };
+    let pooler = Pooler::start(&known, &discovery, &[strong, patient]);
+    let mut writer = connect_client(&pooler);
+    writer.send(&Request::new("w", "order-write").message());
+    let mut write_connection = old_primary.accept();
+    write_connection.receive_query();
+    let mut reader = connect_client(&pooler);
+    reader.send(&Request::new("r", "browse").message());
+    let mut late_connection = old_primary.accept_unanswered_startup();
+    new_primary.answer_queries(b"new", Role::Writer, Duration::ZERO);
+    let not_the_primary = error_response("25006");
+    let role = parameter_status("server_role", "reader");
+    write_connection.send(&[role, not_the_primary].concat());
+    pooler.wait_for_log("primary is now s-2");
+    late_connection.complete_startup();
+    std::thread::spawn(move || {
+        while late_connection.receive_statement().is_some() {
+            late_connection.send_result(b"old", Role::Reader);
+        }
+    });
+    reader.expect_value(b"new");
+    writer.expect_value(b"new");
+    pooler.expect_counters(" not_sent=1 ");
+}
--- a/tests/policy/harness.rs
+++ b/tests/policy/harness.rs
@@ -279,6 +279,12 @@
         self.report_position(endpoint, self.now);
     }
 
+    /// Returns `true` if the first attempt of a request, which has waited for its connection, may be sent
+    /// now.
+    pub fn allows_send(&mut self, id: &str) -> bool {
+        self.policy.allows_send(LocalInstant::from_secs(self.now), &id.into(), 0)
+    }
+
     /// Disconnects the client of a request.
     pub fn disconnect_client(&mut self, id: &str) -> Vec<Action> {
         self.handle(Event::ClientDisconnected { id: id.into() })
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -12,6 +12,7 @@
 mod primary;
 mod read_routing;
 mod retries;
+mod send_check;
 mod sessions;
 mod settings;
 mod slow_start;
