Replace a connection that falls silent while a request waits for it

Cause: a request that waits for a connection to be synchronized failed at the connect timeout if the connection had fallen silent behind its last answer, although nothing of the request was sent.

Change: the response to the empty query has 0.4 of the connect timeout. After that the socket is replaced for the request that waits, which keeps the rest of the timeout; without one the connection is closed.

Tests: backend_pool::a_request_gets_a_new_connection_if_the_one_that_it_waits_for_falls_silent fails on the code before ('the pooler opened no connection').

--- a/src/net/backend/connection.rs
+++ b/src/net/backend/connection.rs
@@ -34,6 +34,9 @@
 /// the event loop. A reply has far fewer.
 const MAX_MESSAGES_PER_CYCLE: usize = 256;
 
+/// Time limit for the response to an empty query, as a share of the connect timeout: opening a connection
+/// takes several round trips, and an exchange that waits in vain needs time to open one.
+const SYNC_TIMEOUT_SHARE: f64 = 0.4;
 /// A query without a statement. Endpoints answer it at once, and it has no effect.
 const EMPTY_QUERY: &[u8] = b"";
 
@@ -103,7 +106,7 @@
             address,
             stream,
             connect_timeout,
-            state_deadline: (exchange.started_at() + connect_timeout).min(exchange.deadline()),
+            state_deadline: exchange.ready_by(connect_timeout),
             state: ConnectionState::Connecting(exchange),
             input: RingBuffer::new(budget),
             output: RingBuffer::new(budget),
@@ -195,7 +198,7 @@
     /// Starts to synchronize a connection without an exchange.
     pub fn start_synchronizing(&mut self, now: Instant) -> ExchangeStatus {
         self.state = ConnectionState::synchronizing();
-        self.state_deadline = now + self.connect_timeout;
+        self.state_deadline = now + self.connect_timeout.mul_f64(SYNC_TIMEOUT_SHARE);
         if self.output.push(&postgres::query_message(EMPTY_QUERY)).is_err() {
             return ExchangeStatus::NotSynchronized(Outcome::NotSent);
         }
@@ -205,7 +208,6 @@
     /// Lets an exchange wait until the connection, which has none, is synchronized.
     pub fn start_after_synchronization(&mut self, exchange: Exchange) {
         if let ConnectionState::Synchronizing { next, .. } = &mut self.state {
-            self.state_deadline = (exchange.started_at() + self.connect_timeout).min(exchange.deadline());
             *next = Some(exchange);
         }
     }
@@ -218,6 +220,7 @@
         self.input.consume(self.input.len());
         self.output.consume(self.output.len());
         if let Some((exchange, _)) = self.take_exchange() {
+            self.state_deadline = exchange.ready_by(self.connect_timeout);
             self.state = ConnectionState::Connecting(exchange);
         }
     }
@@ -263,6 +266,9 @@
 
     /// Returns how the exchange ends now that the deadline of the current state has passed.
     pub fn expire(&mut self, now: Instant) -> ExchangeStatus {
+        if self.state.is_synchronizing() {
+            return ExchangeStatus::NotSynchronized(Outcome::Timeout);
+        }
         match self.state.expiry_result(now, self.connect_timeout, self.write_status()) {
             ExpiryResult::ReplyStalled => self.reject_malformed(),
             ExpiryResult::Failed(outcome) => ExchangeStatus::Failed(outcome),
@@ -360,6 +366,7 @@
         match exchange.task() {
             Task::HealthCheck => self.send_query(exchange, now),
             Task::Attempt(_) => {
+                self.state_deadline = exchange.ready_by(self.connect_timeout);
                 self.state = ConnectionState::Ready(exchange);
                 ExchangeStatus::Ready
             }
--- a/src/net/backend/exchange.rs
+++ b/src/net/backend/exchange.rs
@@ -38,6 +38,11 @@
         self.deadline
     }
 
+    /// Returns by when a connection must be ready for the task.
+    pub fn ready_by(&self, connect_timeout: Duration) -> Instant {
+        (self.started_at + connect_timeout).min(self.deadline)
+    }
+
     /// Returns the Query message for the task. The statement of an attempt carries the time left until the
     /// deadline.
     pub fn query_message(&self, now: Instant) -> Vec<u8> {
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -110,7 +110,6 @@
         let synchronizing = self.pool.find_synchronizing(endpoint);
         if let Some((id, connection)) = synchronizing.and_then(|id| Some((id, self.pool.get_mut(id)?))) {
             connection.start_after_synchronization(exchange);
-            context.reactor.set_timer(connection.state_deadline(), TimerEvent::Backend(id));
             return Some(id);
         }
         self.send_on_new_connection(exchange, endpoint, context)
--- a/src/net/backend/state.rs
+++ b/src/net/backend/state.rs
@@ -137,8 +137,7 @@
         match self {
             ConnectionState::Connecting(exchange)
             | ConnectionState::Starting(exchange)
-            | ConnectionState::Ready(exchange)
-            | ConnectionState::Synchronizing { next: Some(exchange), .. } => {
+            | ConnectionState::Ready(exchange) => {
                 if now >= exchange.started_at() + connect_timeout {
                     ExpiryResult::Failed(Outcome::ConnectFailed)
                 } else {
@@ -149,10 +148,11 @@
                 ExpiryResult::Failed(Outcome::ConnectFailed)
             }
             ConnectionState::Busy { reply_started: true, .. } => ExpiryResult::ReplyStalled,
-            // Never reported for `Idle` and `Synchronizing`, which have no exchange.
-            ConnectionState::Busy { .. }
-            | ConnectionState::Idle
-            | ConnectionState::Synchronizing { next: None, .. } => ExpiryResult::Failed(Outcome::Timeout),
+            // Never reported for `Idle`, which has no exchange, and `Synchronizing`, whose exchange goes on
+            // with another socket.
+            ConnectionState::Busy { .. } | ConnectionState::Idle | ConnectionState::Synchronizing { .. } => {
+                ExpiryResult::Failed(Outcome::Timeout)
+            }
         }
     }
 }
