Do not send a query on a connection that was closed behind its startup

Cause: since a waiting attempt is checked before it is sent, the end of the input behind the response to the startup was seen only after the query was written, so that the attempt counted as possibly executed.

Change: the connection is read once more before the query is sent. A link of the documentation that had become redundant is shortened.

Tests: attempts::a_query_is_not_sent_on_a_connection_that_was_closed_behind_its_startup fails on the code before (connection_reset=1 in place of connect_failed=1).

--- a/src/net/backend/connection.rs
+++ b/src/net/backend/connection.rs
@@ -167,8 +167,8 @@
         self.input.is_empty() && self.output.is_empty()
     }
 
-    /// Returns `true` if an idle connection is still open and in sync. Reads from the socket, so that no
-    /// query is sent on a connection that the peer has closed, even if that event is not handled yet.
+    /// Returns `true` if a connection without a query is still open and in sync. Reads from the socket, so
+    /// that no query is sent on a connection that the peer has closed, even if that event is not handled yet.
     pub fn is_usable(&mut self) -> bool {
         let read = self.input.read_from(&mut self.stream);
         matches!(read, Ok(ReadStatus::WouldBlock)) && self.input.is_empty()
@@ -384,9 +384,16 @@
         }
     }
 
-    /// Sends the query of the attempt that was waiting for the policy.
+    /// Sends the query of the attempt that was waiting for the policy. Fails, with none of the query sent, if
+    /// the endpoint has closed the connection or has sent something meanwhile.
     pub fn send_prepared_query(&mut self, now: Instant) -> ExchangeStatus {
-        match self.prepared_attempt().is_some().then(|| self.take_exchange()).flatten() {
+        if self.prepared_attempt().is_none() {
+            return ExchangeStatus::Pending;
+        }
+        if !self.is_usable() {
+            return ExchangeStatus::Failed(Outcome::ConnectFailed);
+        }
+        match self.take_exchange() {
             Some((exchange, _)) => self.start(exchange, now),
             None => ExchangeStatus::Pending,
         }
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -1,6 +1,6 @@
 //! Backend: holds the connections to endpoints and executes attempts and health checks over them.
 //!
-//! The completion of each task is reported by [`Event::TaskCompleted`](super::Event::TaskCompleted).
+//! The completion of each task is reported by [`Event::TaskCompleted`].
 //!
 //! - [`pool`]: known endpoints and the connections to them.
 //! - [`connection`]: a connection and its read, process and write cycle.
--- a/tests/loopback/attempts.rs
+++ b/tests/loopback/attempts.rs
@@ -57,6 +57,29 @@
     pooler.expect_counters(expected_counters);
 }
 
+/// Guards against sending a query on a connection that its host has closed behind the response to the
+/// startup: the query would count as possibly executed.
+#[test]
+fn a_query_is_not_sent_on_a_connection_that_was_closed_behind_its_startup() {
+    let near = DatabaseHost::new();
+    let far = DatabaseHost::new();
+    let (pooler, _discovery) = start_with_two_hosts(&near, &far);
+    let mut client = connect_client(&pooler);
+    client.send(&Request::new("1", "reports").message());
+    let mut closed = near.accept_unanswered_startup();
+    pooler.wait_until_events_handled();
+    // While the pooler is suspended, so that it finds the response and the close together.
+    pooler.signal(Signal::Stop);
+    closed.complete_startup();
+    closed.close();
+    pooler.signal(Signal::Continue);
+    let mut backend = far.accept();
+    backend.expect_request("1");
+    backend.send_result(BINARY_VALUE, Role::Reader);
+    client.expect_result();
+    pooler.expect_counters(" connect_failed=1 connection_reset=0 ");
+}
+
 /// If the complete value has arrived before the reset, it is served and the read is not retried.
 #[test]
 fn a_complete_value_is_served_even_if_its_connection_is_reset_afterwards() {
