--- a/tests/loopback/soak/discovery.rs
+++ b/tests/loopback/soak/discovery.rs
@@ -217,9 +217,11 @@
 }
 
 /// Answers each watch with the complete list, as long as the service is in use at this address. Otherwise
-/// closes it. Leaves it unanswered during an outage.
+/// closes it. Leaves it unanswered during an outage. The listener stays open while nobody calls: its port
+/// could be given to another run's service.
 fn accept_watches(number: usize, service: &DiscoveryService, state: &Mutex<State>) {
-    while let Some(watch) = service.next_watch() {
+    loop {
+        let Some(watch) = service.next_watch() else { continue };
         let mut state = state.lock().unwrap();
         if state.active == number {
             if state.is_down {
--- a/tests/loopback/soak/host.rs
+++ b/tests/loopback/soak/host.rs
@@ -59,8 +59,9 @@
         let listed = ListedHost::new(name, zone, role, host.entry(name, zone).address);
         let faults: Arc<Mutex<Faults>> = Arc::default();
         let (server, shared, attempts) = (listed.clone(), faults.clone(), attempts.clone());
-        std::thread::spawn(move || {
-            while let Some(connection) = host.next_connection() {
+        std::thread::spawn(move || loop {
+            // The listener stays open while nobody connects: its port could be given to another run's host.
+            if let Some(connection) = host.next_connection() {
                 let (server, shared, attempts) = (server.clone(), shared.clone(), attempts.clone());
                 let random = fastrand::Rng::with_seed(random.u64(..));
                 std::thread::spawn(move || serve(connection, &server, &shared, &attempts, random));
