--- a/tests/loopback/backend_pool.rs
+++ b/tests/loopback/backend_pool.rs
@@ -34,9 +34,7 @@
     let host = DatabaseHost::new();
     let (pooler, _discovery) = start_with_one_host(&host, &[]);
     let mut client = connect_client(&pooler);
-    client.send(&Request::new("1", "reports").message());
-    let mut silent = host.accept();
-    silent.receive_query();
+    let mut silent = start_read(&host, &mut client, "1");
     silent.send(&result_response(BINARY_VALUE, Role::Reader));
     client.expect_result();
     client.send(&Request::new("2", "reports").message());
@@ -56,9 +54,7 @@
     let host = DatabaseHost::new();
     let (pooler, _discovery) = start_with_one_host(&host, &[]);
     let mut client = connect_client(&pooler);
-    client.send(&Request::new("1", "reports").message());
-    let mut backend = host.accept();
-    backend.receive_query();
+    let mut backend = start_read(&host, &mut client, "1");
     backend.send(&result_response(BINARY_VALUE, Role::Reader));
     client.expect_result();
     client.send(&Request::new("2", "reports").message());
--- a/tests/loopback/fairness.rs
+++ b/tests/loopback/fairness.rs
@@ -103,9 +103,7 @@
     let (pooler, _discovery) = start_with_two_hosts(&near, &far);
     let mut first = connect_client(&pooler);
     let mut usual = connect_client(&pooler);
-    first.send(&Request::new("1", "reports").message());
-    let mut endless = near.accept();
-    endless.receive_query();
+    let mut endless = start_read(&near, &mut first, "1");
     near.answer_queries(BINARY_VALUE, Role::Reader, Duration::ZERO);
     far.answer_queries(BINARY_VALUE, Role::Reader, Duration::ZERO);
     let notices = encode_message(message_type::NOTICE_RESPONSE, b"SNOTICE\0Mwait\0\0").repeat(5000);
--- a/tests/loopback/harness/setup.rs
+++ b/tests/loopback/harness/setup.rs
@@ -55,12 +55,19 @@
     (Pooler::start(&known, &discovery, &[]), discovery)
 }
 
+/// Sends a read and expects it on a new connection to `host`. Returns that connection, on which the read is
+/// not yet answered.
+pub fn start_read(host: &DatabaseHost, client: &mut Connection, id: impl ToString) -> Connection {
+    client.send(&Request::new(id, "reports").message());
+    let mut backend = host.accept();
+    backend.receive_query();
+    backend
+}
+
 /// Sends a read, expects it on a new connection to `host` and answers it. Returns that connection, which the
 /// pooler keeps in its pool of idle connections.
 pub fn complete_read(host: &DatabaseHost, client: &mut Connection) -> Connection {
-    client.send(&Request::new("warm", "reports").message());
-    let mut backend = host.accept();
-    backend.receive_query();
+    let mut backend = start_read(host, client, "warm");
     backend.send_result(BINARY_VALUE, Role::Reader);
     client.receive_response();
     backend
@@ -69,14 +76,7 @@
 /// Sends a read from each client and expects each on a new connection to `host`. Returns these connections,
 /// on which the reads are not yet answered.
 pub fn start_reads(host: &DatabaseHost, clients: &mut [Connection]) -> Vec<Connection> {
-    let mut backends = Vec::new();
-    for (number, client) in clients.iter_mut().enumerate() {
-        client.send(&Request::new(number, "reports").message());
-        let mut backend = host.accept();
-        backend.receive_query();
-        backends.push(backend);
-    }
-    backends
+    clients.iter_mut().enumerate().map(|(number, client)| start_read(host, client, number)).collect()
 }
 
 /// Sends a write, which `host` answers as the primary. Returns the connection on which it was sent.
--- a/tests/loopback/malformed_responses.rs
+++ b/tests/loopback/malformed_responses.rs
@@ -74,9 +74,7 @@
     let host = DatabaseHost::new();
     let (pooler, _discovery) = start_with_one_host(&host, &[]);
     let mut client = connect_client(&pooler);
-    client.send(&Request::new("1", "reports").message());
-    let mut backend = host.accept();
-    backend.receive_query();
+    let mut backend = start_read(&host, &mut client, "1");
     let response = result_response(BINARY_VALUE, Role::Reader);
     match arrival {
         Arrival::WithTheResponse => backend.send(&[&response, unsolicited].concat()),
@@ -107,9 +105,7 @@
     let host = DatabaseHost::new();
     let (pooler, _discovery) = start_with_one_host(&host, &[]);
     let mut client = connect_client(&pooler);
-    client.send(&Request::new("1", "reports").message());
-    let mut backend = host.accept();
-    backend.receive_query();
+    let mut backend = start_read(&host, &mut client, "1");
     backend.send(&response);
     client.receive_response();
     client.send(&Request::new("2", "reports").message());
