Claim the ID of a request when it is received, not when it is started

Cause: `Pooler::validate` looked an ID up among the requests that were passed on. A request that waits in the buffer of its connection behind the running one is open as well.

Change: `RequestIds` holds a claim for each request from its last byte to its end. `WaitingQueries` makes the claims of the queries in a connection's buffer in the order in which they were received.

--- a/src/net/buffer/ring_buffer.rs
+++ b/src/net/buffer/ring_buffer.rs
@@ -128,18 +128,35 @@
 
     /// Returns the first `N` bytes without removing them, or `None` if the buffer holds fewer.
     pub fn peek<const N: usize>(&self) -> Option<[u8; N]> {
-        if self.len < N {
+        self.peek_at(0)
+    }
+
+    /// Returns the `N` bytes that start `offset` bytes behind the front without removing them, or `None` if
+    /// the buffer ends before.
+    pub fn peek_at<const N: usize>(&self, offset: usize) -> Option<[u8; N]> {
+        if self.len < offset + N {
             return None;
         }
         let mut bytes = [0; N];
-        self.copy_first(&mut bytes);
+        self.copy_from(offset, &mut bytes);
+        Some(bytes)
+    }
+
+    /// Returns the `count` bytes that start `offset` bytes behind the front without removing them, or `None`
+    /// if the buffer ends before.
+    pub fn peek_range(&self, offset: usize, count: usize) -> Option<Vec<u8>> {
+        if self.len < offset + count {
+            return None;
+        }
+        let mut bytes = vec![0; count];
+        self.copy_from(offset, &mut bytes);
         Some(bytes)
     }
 
     /// Returns up to `count` bytes from the front without removing them.
     pub fn peek_up_to(&self, count: usize) -> Vec<u8> {
         let mut bytes = vec![0; count.min(self.len)];
-        self.copy_first(&mut bytes);
+        self.copy_from(0, &mut bytes);
         bytes
     }
 
@@ -174,17 +191,22 @@
     fn grow(&mut self, size: usize) -> Result<(), CapacityExceeded> {
         self.reservation.resize(size)?;
         let mut storage = vec![0; size];
-        self.copy_first(&mut storage[..self.len]);
+        self.copy_from(0, &mut storage[..self.len]);
         self.storage = storage;
         self.head = 0;
         Ok(())
     }
 
-    /// Fills `destination` with bytes from the front. `destination` must not be longer than the contents.
-    fn copy_first(&self, destination: &mut [u8]) {
-        let before_wrap = destination.len().min(self.storage.len() - self.head);
+    /// Fills `destination` with the bytes that start `offset` bytes behind the front. The contents must not
+    /// end before.
+    fn copy_from(&self, offset: usize, destination: &mut [u8]) {
+        if destination.is_empty() {
+            return;
+        }
+        let start = (self.head + offset) % self.storage.len();
+        let before_wrap = destination.len().min(self.storage.len() - start);
         let (first, second) = destination.split_at_mut(before_wrap);
-        first.copy_from_slice(&self.storage[self.head..self.head + first.len()]);
+        first.copy_from_slice(&self.storage[start..start + first.len()]);
         second.copy_from_slice(&self.storage[..second.len()]);
     }
 
--- a/src/net/frontend/connection.rs
+++ b/src/net/frontend/connection.rs
@@ -141,6 +141,7 @@
         self.socket_has_input = status == ReadStatus::Full;
         let unprocessed_before = self.session.unprocessed_bytes();
         let batch = self.process_messages(cycle)?;
+        self.session.claim_waiting_ids(&cycle.context.request_ids);
         let made_room = self.session.unprocessed_bytes() != unprocessed_before;
         // Events are edge-triggered, so no event announces again what did not fit into a full buffer.
         if batch == BatchStatus::LimitReached || self.socket_has_input && made_room {
--- a/src/net/frontend/input.rs
+++ b/src/net/frontend/input.rs
@@ -5,13 +5,16 @@
 
 use super::arrivals::ArrivalTimes;
 use super::error::MustClose;
+use super::waiting_queries::WaitingQueries;
 use crate::net::buffer::{CapacityExceeded, MemoryBudget, MemoryReservation, ReadStatus, RingBuffer};
 use crate::net::postgres::{self, ClientMessage, ProtocolError, StartupRequest};
+use crate::net::request_ids::{IdClaim, RequestIds};
 
 /// The input buffer and the arrival times of its content.
 pub(super) struct Input {
     buffer: RingBuffer,
     arrival_times: ArrivalTimes,
+    waiting_queries: WaitingQueries,
     last_received_at: Instant,
 }
 
@@ -21,6 +24,7 @@
         Input {
             buffer: RingBuffer::new(budget),
             arrival_times: ArrivalTimes::default(),
+            waiting_queries: WaitingQueries::default(),
             last_received_at: now,
         }
     }
@@ -85,6 +89,7 @@
 
     /// Takes the next message. Returns `None` until it is complete.
     pub(super) fn take_message(&mut self) -> Result<Option<ClientMessage>, ProtocolError> {
+        self.waiting_queries.drop_consumed(&self.buffer);
         postgres::read_client_message(&mut self.buffer)
     }
 
@@ -94,6 +99,16 @@
         arrived_at.unwrap_or(self.last_received_at)
     }
 
+    /// Claims the IDs of all queries that are received completely and not yet processed.
+    pub(super) fn claim_waiting_ids(&mut self, ids: &RequestIds) {
+        self.waiting_queries.index(&self.buffer, ids);
+    }
+
+    /// Returns the claim to the ID of the query that was just taken, or `None` if the ID is in use.
+    pub(super) fn take_id_claim(&mut self, id: &str, ids: &RequestIds) -> Option<IdClaim> {
+        self.waiting_queries.take_claim(&self.buffer, id, ids)
+    }
+
     /// Reserves `bytes` of the memory budget for a message that was taken and is stored elsewhere.
     pub(super) fn reserve_memory(&self, bytes: usize) -> Result<MemoryReservation, CapacityExceeded> {
         self.buffer.reserve_memory(bytes)
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -15,6 +15,7 @@
 //!     - [`input`]: bytes received and not yet processed, with their arrival times ([`arrivals`]).
 //!     - [`output`]: responses and errors that are not yet written.
 //!   - [`deadline`]: the action expected from the client, and its deadline.
+//!     - [`waiting_queries`]: the queries in the input that wait for the running one.
 //! - [`cycle`], [`service_status`], [`error`], [`log_limiter`]: shared by several of these modules.
 
 mod acceptor;
@@ -33,6 +34,7 @@
 mod service_status;
 mod session;
 mod socket;
+mod waiting_queries;
 
 use std::io;
 use std::time::Duration;
--- a/src/net/frontend/session.rs
+++ b/src/net/frontend/session.rs
@@ -14,6 +14,7 @@
 use crate::counters::Counters;
 use crate::net::buffer::{MemoryBudget, ReadStatus};
 use crate::net::postgres::{sqlstate, StartupRequest};
+use crate::net::request_ids::RequestIds;
 use crate::net::{CancelKey, Context, Event, Response};
 pub(super) use messages::MessageStatus;
 
@@ -121,6 +122,14 @@
         self.input.discard_from(source)
     }
 
+    /// Claims the IDs of the queries that wait in the input, so that no other client can use them.
+    pub(super) fn claim_waiting_ids(&mut self, ids: &RequestIds) {
+        let has_started = self.phase() != Phase::Startup && !self.phase().is_closing();
+        if has_started && !self.input.is_empty() {
+            self.input.claim_waiting_ids(ids);
+        }
+    }
+
     /// Writes output until the sink would block.
     pub(super) fn write_to(&mut self, sink: &mut impl Write) -> Result<FlushStatus, MustClose> {
         self.output.write_to(sink)
--- a/src/net/frontend/session/messages.rs
+++ b/src/net/frontend/session/messages.rs
@@ -159,6 +159,7 @@
             return self.reject_query(&query.id, sqlstate::TOO_MANY_CONNECTIONS, "no memory", None, cycle);
         };
         query.statement.memory = Some(memory);
+        query.id_claim = self.input.take_id_claim(&query.id, &cycle.context.request_ids);
         self.state.start_query();
         cycle.context.events.push_back(Event::QueryReceived { client: cycle.id, query, received_at });
         Ok(())
--- a/src/net/frontend/tests.rs
+++ b/src/net/frontend/tests.rs
@@ -1,6 +1,5 @@
 //! Tests of client connections while the system is short of memory or a client reads slowly.
 
-use std::collections::VecDeque;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
@@ -53,7 +52,7 @@
     fn with_connection_limit(max_connections: usize) -> Fixture {
         let poll = Poll::new().unwrap();
         let reactor = Reactor::new(&poll).unwrap();
-        let mut context = Context { reactor, events: VecDeque::new(), counters: Counters::default() };
+        let mut context = Context::new(reactor);
         let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
         socket2::SockRef::from(&listener).set_send_buffer_size(SOCKET_BUFFER).unwrap();
         let address = listener.local_addr().unwrap();
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -6,6 +6,7 @@
 
 use super::buffer::MemoryReservation;
 use super::reactor::ConnectionId;
+use super::request_ids::IdClaim;
 use crate::endpoint_list::ListedEndpoint;
 use crate::interface::{EndpointId, LoadReport, Outcome, RequestId, Role, UpdateKind};
 use crate::time::{ClusterInstant, LogPosition};
@@ -45,6 +46,8 @@
 pub(crate) struct Query {
     /// Request ID chosen by the client.
     pub id: String,
+    /// The claim to the ID; `None` if another request uses it.
+    pub id_claim: Option<IdClaim>,
     /// Class name.
     pub class: String,
     /// Tenant name.
@@ -73,7 +76,7 @@
     /// The class requires an idempotency key and the query carries none.
     #[error("this class needs a key")]
     MissingIdempotencyKey,
-    /// Another request with the same ID is in progress.
+    /// Another request with the same ID is open.
     #[error("this id is in use")]
     DuplicateId,
     /// An endpoint rejected the statement with an error that every endpoint would return.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 //! - [`discovery`]: endpoint list watch.
 //! - [`pooler`]: passes events from these modules to the policy and executes the resulting actions.
 //! - [`shutdown`]: graceful shutdown.
+//! - [`request_ids`]: the IDs of open requests.
 //! - [`messages`]: types exchanged between these modules.
 //! - [`postgres`]: PostgreSQL protocol messages.
 //! - [`buffer`]: connection buffers and their shared memory budget.
@@ -19,6 +20,7 @@
 mod pooler;
 mod postgres;
 mod reactor;
+mod request_ids;
 mod shutdown;
 
 use std::collections::VecDeque;
@@ -27,6 +29,7 @@
 use messages::{AttemptTask, CancelKey, Completion, Event, Query, Response, Statement, Task};
 pub(crate) use pooler::{serve, ServeError};
 use reactor::Reactor;
+use request_ids::RequestIds;
 
 /// State shared by all reactor callbacks.
 pub(crate) struct Context {
@@ -36,4 +39,18 @@
     events: VecDeque<Event>,
     /// Operational counters since startup.
     counters: Counters,
+    /// The IDs of open requests.
+    request_ids: RequestIds,
+}
+
+impl Context {
+    /// Creates the state before the first event.
+    fn new(reactor: Reactor) -> Context {
+        Context {
+            reactor,
+            events: VecDeque::new(),
+            counters: Counters::default(),
+            request_ids: RequestIds::default(),
+        }
+    }
 }
--- a/src/net/pooler/active_requests/mod.rs
+++ b/src/net/pooler/active_requests/mod.rs
@@ -6,6 +6,7 @@
 use crate::interface::RequestId;
 use crate::net::messages::{AttemptTask, Statement};
 use crate::net::reactor::ConnectionId;
+use crate::net::request_ids::IdClaim;
 
 /// An attempt that was sent and has not ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +23,8 @@
     /// Client waiting for the final response; `None` once it was answered or has disconnected.
     client: Option<ConnectionId>,
     statement: Rc<Statement>,
+    /// Keeps other requests from using the ID.
+    _id_claim: Option<IdClaim>,
     /// Number of attempts started.
     attempts: usize,
     /// Attempts whose results are not handled yet; more than one for a hedged request.
@@ -64,15 +67,23 @@
 
 impl ActiveRequests {
     /// Returns `true` if a request with this ID is in progress.
+    #[cfg(test)]
     pub fn contains(&self, id: &str) -> bool {
         self.requests.contains_key(id)
     }
 
     /// Adds a request that `client` waits for.
-    pub fn insert(&mut self, id: RequestId, client: ConnectionId, statement: Statement) {
+    pub fn insert(
+        &mut self,
+        id: RequestId,
+        client: ConnectionId,
+        statement: Statement,
+        id_claim: Option<IdClaim>,
+    ) {
         let request = ActiveRequest {
             client: Some(client),
             statement: Rc::new(statement),
+            _id_claim: id_claim,
             attempts: 0,
             in_flight: Vec::new(),
         };
--- a/src/net/pooler/active_requests/tests.rs
+++ b/src/net/pooler/active_requests/tests.rs
@@ -20,7 +20,7 @@
 /// Returns a table with one request that `client` waits for.
 fn table_with_request(client: ConnectionId) -> ActiveRequests {
     let mut table = ActiveRequests::default();
-    table.insert(RequestId::from(ID), client, statement());
+    table.insert(RequestId::from(ID), client, statement(), None);
     table
 }
 
@@ -127,7 +127,7 @@
     let mut table = table_with_request(client);
     send_attempt(&mut table, Some(connection));
     assert!(table.abandon(client).is_some());
-    table.insert(RequestId::from("r2"), client, statement());
+    table.insert(RequestId::from("r2"), client, statement(), None);
     assert_eq!(table.take_client(ID), None);
     assert_eq!(table.take_client("r2"), Some(client));
 }
--- a/src/net/pooler/queries.rs
+++ b/src/net/pooler/queries.rs
@@ -108,7 +108,7 @@
         let id = RequestId::from(query.id.as_str());
         let request =
             self.query_translator.build_request(id.clone(), class, &query, received_at, &context.reactor);
-        self.requests.insert(id, client, query.statement);
+        self.requests.insert(id, client, query.statement, query.id_claim);
         self.notify_policy(interface::Event::Request(request), context);
     }
 
@@ -116,7 +116,7 @@
     fn validate(&self, query: &Query) -> Result<usize, InvalidQuery> {
         let class = self.query_translator.class_index(query)?;
         // Requests with the same ID could not be told apart, and an endpoint would see a duplicate.
-        if self.requests.contains(&query.id) {
+        if query.id_claim.is_none() {
             return Err(InvalidQuery::DuplicateId);
         }
         Ok(class)
--- a/src/net/pooler/startup.rs
+++ b/src/net/pooler/startup.rs
@@ -1,6 +1,5 @@
 //! Builds the pooler from the configuration and runs it.
 
-use std::collections::VecDeque;
 use std::io;
 use std::path::Path;
 
@@ -14,7 +13,6 @@
 use super::reload::ConfigReload;
 use super::Pooler;
 use crate::config::Config;
-use crate::counters::Counters;
 use crate::interface::UpdateKind;
 use crate::net::backend::Backend;
 use crate::net::buffer::MemoryBudget;
@@ -98,7 +96,7 @@
 fn start(config: &Config, path: &Path) -> Result<StartedPooler, ServeError> {
     let poll = Poll::new()?;
     let reactor = Reactor::new(&poll)?;
-    let mut context = Context { reactor, events: VecDeque::new(), counters: Counters::default() };
+    let mut context = Context::new(reactor);
     let pooler = Pooler::new(config, path, &mut context)?;
     Ok(StartedPooler { poll, context, pooler })
 }
--- a/src/net/postgres/framing.rs
+++ b/src/net/postgres/framing.rs
@@ -33,12 +33,28 @@
 ///
 /// Fails if its length is invalid or exceeds [`MAX_CLIENT_BODY`].
 pub(crate) fn read_client_message(buffer: &mut RingBuffer) -> Result<Option<ClientMessage>, ProtocolError> {
-    let Some(header) = peek_header(buffer)? else { return Ok(None) };
+    let message = peek_client_message(buffer, 0)?;
+    if let Some(message) = &message {
+        buffer.consume(message.encoded_length());
+    }
+    Ok(message)
+}
+
+/// Returns the client message that starts `offset` bytes behind the front without consuming it, or `None` if
+/// it is incomplete.
+///
+/// Fails if its length is invalid or exceeds [`MAX_CLIENT_BODY`].
+pub(crate) fn peek_client_message(
+    buffer: &RingBuffer,
+    offset: usize,
+) -> Result<Option<ClientMessage>, ProtocolError> {
+    let Some(header) = peek_header(buffer, offset)? else { return Ok(None) };
     if header.body_length > MAX_CLIENT_BODY {
         return Err(ProtocolError::TooLong);
     }
     let kind = ClientMessageKind::from_byte(header.first_byte);
-    Ok(take_body(buffer, &header).map(|body| Message { kind, body }))
+    let body = buffer.peek_range(offset + HEADER_SIZE, header.body_length);
+    Ok(body.map(|body| Message { kind, body }))
 }
 
 /// Consumes the next message from an endpoint, or returns `None` if it is incomplete. An invalid message is
@@ -47,7 +63,7 @@
     let Some([first_byte]) = buffer.peek() else { return Ok(None) };
     let kind = BackendMessageKind::from_byte(first_byte).ok_or(ProtocolError::Malformed)?;
     let max_body_length = max_body_length(kind).ok_or(ProtocolError::Malformed)?;
-    let Some(header) = peek_header(buffer)? else { return Ok(None) };
+    let Some(header) = peek_header(buffer, 0)? else { return Ok(None) };
     if header.body_length > max_body_length {
         return Err(ProtocolError::TooLong);
     }
@@ -72,9 +88,10 @@
     }
 }
 
-/// Returns the header of the next message, or `None` if it is incomplete.
-fn peek_header(buffer: &RingBuffer) -> Result<Option<MessageHeader>, ProtocolError> {
-    let Some([first_byte, length @ ..]) = buffer.peek::<HEADER_SIZE>() else { return Ok(None) };
+/// Returns the header of the message that starts `offset` bytes behind the front, or `None` if it is
+/// incomplete.
+fn peek_header(buffer: &RingBuffer, offset: usize) -> Result<Option<MessageHeader>, ProtocolError> {
+    let Some([first_byte, length @ ..]) = buffer.peek_at::<HEADER_SIZE>(offset) else { return Ok(None) };
     let length = u32::from_be_bytes(length) as usize;
     let body_length = length.checked_sub(LENGTH_SIZE).ok_or(ProtocolError::Malformed)?;
     Ok(Some(MessageHeader { first_byte, body_length }))
--- a/src/net/postgres/message.rs
+++ b/src/net/postgres/message.rs
@@ -17,6 +17,13 @@
     pub body: Vec<u8>,
 }
 
+impl<Kind> Message<Kind> {
+    /// Returns the number of bytes of the message with its header.
+    pub fn encoded_length(&self) -> usize {
+        HEADER_SIZE + self.body.len()
+    }
+}
+
 /// A message from a client; its kind is `None` if the first byte is unknown.
 pub(crate) type ClientMessage = Message<Option<ClientMessageKind>>;
 
--- a/src/net/postgres/mod.rs
+++ b/src/net/postgres/mod.rs
@@ -33,7 +33,7 @@
     empty_query_response, parse_parameter_status, ready_for_query, single_column_value, ParameterStatus,
 };
 pub(crate) use error_response::{error_response, parse_error_response, Severity};
-pub(crate) use framing::{read_backend_message, read_client_message, ProtocolError};
+pub(crate) use framing::{peek_client_message, read_backend_message, read_client_message, ProtocolError};
 pub(crate) use message::{append_message, BackendMessage, ClientMessage};
 pub(crate) use message_kind::{BackendMessageKind, ClientMessageKind};
 pub(crate) use query::{parse_query, query_message, ParsedQuery};
--- a/src/net/postgres/query.rs
+++ b/src/net/postgres/query.rs
@@ -71,6 +71,7 @@
 fn build_query(sql: &str, statement: &str, fields: CommentFields) -> Query {
     Query {
         id: fields.id,
+        id_claim: None,
         class: fields.class,
         tenant: fields.tenant,
         group: fields.group,
--- a/src/net/reactor/tests.rs
+++ b/src/net/reactor/tests.rs
@@ -1,13 +1,10 @@
 //! Tests of the event loop, connection table, event tokens, timer queue and clock.
 
-use std::collections::VecDeque;
-
 use mio::Token;
 use rstest::rstest;
 
 use super::connection_table::MAX_GENERATION;
 use super::*;
-use crate::counters::Counters;
 use crate::time::Span;
 
 /// System time at the start of the clock (Unix seconds).
@@ -55,7 +52,7 @@
 fn sources_that_always_have_more_work_take_turns_and_do_not_hold_up_timers() {
     let mut poll = Poll::new().unwrap();
     let reactor = Reactor::new(&poll).unwrap();
-    let mut context = Context { reactor, events: VecDeque::new(), counters: Counters::default() };
+    let mut context = Context::new(reactor);
     let mut handler = BusyHandler::default();
     handler.schedule(0, &mut context);
     handler.schedule(1, &mut context);
