Start no waiting query shortly before the kill

Cause: 300 ms before the kill the pooler ended the running request of a connection, but started the next one in its place. Each took a round of a 50 ms timer.

Change: from then on `Drain::rejects` rejects every query that would be started, so that all that wait are answered at once. A request that begins to block others later is ended when the input arrives, in place of the timer. On a related path, a connection whose empty query waits for an endpoint counted as drained and was closed with the queries behind it; the empty query is now rejected at the drain.

Two new tests in `shutdown_and_reload` failed before: 40 queries at once, and a query behind an empty one.

--- a/src/net/frontend/connection.rs
+++ b/src/net/frontend/connection.rs
@@ -15,6 +15,7 @@
 use super::socket::ClientSocket;
 use crate::net::buffer::{MemoryBudget, ReadStatus};
 use crate::net::reactor::{ConnectionId, EventSource, Resumption, TimerEvent};
+use crate::net::shutdown::Drain;
 use crate::net::{CancelKey, Context, Response};
 
 /// Maximum number of messages of one connection that are processed in one cycle. Together with the size of
@@ -237,6 +238,12 @@
         self.session.add_response_to_waiting_empty_query(now)
     }
 
+    /// Rejects an empty query that waits for an endpoint. [`write_response`](Self::write_response) writes the
+    /// error.
+    pub(super) fn reject_waiting_empty_query(&mut self, drain: Drain) -> Result<(), MustClose> {
+        self.session.reject_waiting_empty_query(drain)
+    }
+
     /// Starts to close the connection. The client still has time to read its pending responses.
     pub(super) fn close_gracefully(
         &mut self,
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -201,11 +201,22 @@
     /// are rejected as [`Drain::rejects`] decides.
     pub fn start_draining(&mut self, drain: Drain, context: &mut Context) {
         self.service.start_draining(drain);
+        for id in self.connections.find_all(Session::has_blocking_empty_query) {
+            self.reject_waiting_empty_query(id, drain, context);
+        }
         for id in self.connections.ids() {
             self.run_cycle(id, context);
         }
     }
 
+    fn reject_waiting_empty_query(&mut self, id: ConnectionId, drain: Drain, context: &mut Context) {
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        let result = connection
+            .reject_waiting_empty_query(drain)
+            .and_then(|()| connection.write_response(id, context));
+        self.finish_cycle(id, result, context);
+    }
+
     /// Returns the clients whose running query is a blocking request, that is, a query with unread input
     /// behind it. The input need not be a complete query.
     pub fn clients_with_blocking_requests(&self) -> Vec<ConnectionId> {
@@ -223,6 +234,10 @@
             result = connection.run_cycle(id, self.service, context);
         }
         connection.update_deadline(id, context);
+        let is_blocking = connection.session().has_blocking_request();
+        if is_blocking && result.is_ok() && self.service.is_waiting_over(context.reactor.now()) {
+            context.events.push_back(Event::QueryBlocksOthers(id));
+        }
         let is_closed = result.is_err();
         if let Err(reason) = result {
             if is_busy {
--- a/src/net/frontend/service_status.rs
+++ b/src/net/frontend/service_status.rs
@@ -22,6 +22,11 @@
         self.is_ready = true;
     }
 
+    /// Returns the drain of the shutdown, if it has started.
+    pub(super) fn drain(&self) -> Option<Drain> {
+        self.drain
+    }
+
     /// Returns `true` if the connections are being drained for the shutdown.
     pub(super) fn is_draining(&self) -> bool {
         self.drain.is_some()
@@ -32,8 +37,13 @@
         self.drain = Some(drain);
     }
 
-    /// Returns the drain if it rejects a query received at this instant.
-    pub(super) fn rejecting_drain(&self, received_at: Instant) -> Option<Drain> {
-        self.drain.filter(|drain| drain.rejects(received_at))
+    /// Returns the drain if it rejects, at `now`, a query received at `received_at`.
+    pub(super) fn rejecting_drain(&self, received_at: Instant, now: Instant) -> Option<Drain> {
+        self.drain.filter(|drain| drain.rejects(received_at, now))
+    }
+
+    /// Returns `true` if no query may wait behind another any more, since the process may soon be killed.
+    pub(super) fn is_waiting_over(&self, now: Instant) -> bool {
+        self.drain.is_some_and(|drain| drain.is_waiting_over(now))
     }
 }
--- a/src/net/frontend/session.rs
+++ b/src/net/frontend/session.rs
@@ -15,6 +15,7 @@
 use crate::net::buffer::{MemoryBudget, ReadStatus};
 use crate::net::postgres::{sqlstate, StartupRequest};
 use crate::net::request_ids::RequestIds;
+use crate::net::shutdown::Drain;
 use crate::net::{CancelKey, Context, Event, Response};
 pub(super) use messages::MessageStatus;
 
@@ -62,6 +63,11 @@
         self.phase() == Phase::Busy && !self.input.is_empty()
     }
 
+    /// Returns `true` if an empty query waits for an endpoint, with unread input behind it.
+    pub(super) fn has_blocking_empty_query(&self) -> bool {
+        self.phase() == Phase::AwaitingEndpoints && !self.input.is_empty()
+    }
+
     /// Returns `true` if the session is between queries, with no input or output pending.
     pub(super) fn is_idle(&self) -> bool {
         self.phase().is_reading() && self.input.is_empty() && self.output.is_empty()
@@ -77,7 +83,7 @@
     /// An incomplete message does not count as a query, and neither does an empty query that waits for an
     /// endpoint, which remains unanswered.
     pub(super) fn is_drained(&self) -> bool {
-        if self.phase() == Phase::Busy || self.phase().is_closing() {
+        if self.phase() == Phase::Busy || self.phase().is_closing() || self.has_blocking_empty_query() {
             return false;
         }
         // If the output is empty, all complete messages are processed. Otherwise, the input may hold a query.
@@ -158,6 +164,12 @@
         self.add_response_to_empty_query()
     }
 
+    /// Rejects an empty query that waits for an endpoint, since the pooler shuts down.
+    pub(super) fn reject_waiting_empty_query(&mut self, drain: Drain) -> Result<(), MustClose> {
+        self.state.finish_empty_query();
+        self.push_shutdown_rejection(drain)
+    }
+
     /// Closes the session of a client that has missed its deadline. An incomplete message is answered with an
     /// error. Without pending input no error is sent, since it could be taken for the response to a query.
     pub(super) fn close_timed_out(&mut self, counters: &mut Counters) -> Result<(), MustClose> {
@@ -198,6 +210,10 @@
         }
     }
 
+    fn push_shutdown_rejection(&mut self, drain: Drain) -> Result<(), MustClose> {
+        self.output.push_rejection(sqlstate::CANNOT_CONNECT_NOW, "shutting down", drain.retry_after())
+    }
+
     fn add_response_to_empty_query(&mut self) -> Result<(), MustClose> {
         self.state.finish_empty_query();
         self.output.push_empty_query_response()
--- a/src/net/frontend/session/messages.rs
+++ b/src/net/frontend/session/messages.rs
@@ -134,10 +134,7 @@
     fn process_query(&mut self, body: &[u8], cycle: &mut CycleContext) -> Result<(), MustClose> {
         match postgres::parse_query(body) {
             Ok(ParsedQuery::Empty) if cycle.service.is_ready() => self.add_response_to_empty_query(),
-            Ok(ParsedQuery::Empty) => {
-                self.state.await_endpoints();
-                Ok(())
-            }
+            Ok(ParsedQuery::Empty) => self.await_endpoints(cycle),
             Ok(ParsedQuery::Query(query)) => self.start_query(query, cycle),
             Err(error) => {
                 cycle.context.counters.malformed += 1;
@@ -146,11 +143,21 @@
         }
     }
 
+    /// Lets an empty query wait for an endpoint. Rejects it during the shutdown, since it would block others.
+    fn await_endpoints(&mut self, cycle: &CycleContext) -> Result<(), MustClose> {
+        if let Some(drain) = cycle.service.drain() {
+            return self.push_shutdown_rejection(drain);
+        }
+        self.state.await_endpoints();
+        Ok(())
+    }
+
     /// Passes a query on for execution. Rejects it if the shutdown requires that or if there is no memory for
     /// its statement.
     fn start_query(&mut self, mut query: Box<Query>, cycle: &mut CycleContext) -> Result<(), MustClose> {
         let received_at = self.input.message_received_at();
-        if let Some(drain) = cycle.service.rejecting_drain(received_at) {
+        let now = cycle.context.reactor.now();
+        if let Some(drain) = cycle.service.rejecting_drain(received_at, now) {
             let code = sqlstate::CANNOT_CONNECT_NOW;
             return self.reject_query(&query.id, code, "shutting down", drain.retry_after(), cycle);
         }
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -157,6 +157,8 @@
     },
     /// A client has disconnected while its query was in progress.
     ClientDisconnected(ConnectionId),
+    /// The running query of a client blocks others, although the process may soon be killed.
+    QueryBlocksOthers(ConnectionId),
     /// A CancelRequest with this key was received.
     CancelRequested(CancelKey),
     /// The connection of an attempt, which had to be opened or synchronized, is ready for its query.
--- a/src/net/pooler/mod.rs
+++ b/src/net/pooler/mod.rs
@@ -27,7 +27,7 @@
 use super::backend::Backend;
 use super::discovery::DiscoveryClient;
 use super::frontend::Frontend;
-use super::reactor::{EventSource, Handler, Readiness, TimerEvent};
+use super::reactor::{ConnectionId, EventSource, Handler, Readiness, TimerEvent};
 use super::shutdown::GracefulShutdown;
 use super::{Context, Event};
 use crate::interface::{self, Action};
@@ -65,6 +65,7 @@
                     self.on_query(client, *query, received_at, context);
                 }
                 Event::ClientDisconnected(client) => self.abandon_request(client, context),
+                Event::QueryBlocksOthers(client) => self.end_blocking_request(client, context),
                 Event::CancelRequested(key) => self.on_cancel_request(key, context),
                 Event::AttemptReady { connection, attempt } => {
                     self.on_attempt_ready(connection, &attempt, context);
@@ -100,14 +101,19 @@
         self.frontend.start_draining(drain, context);
     }
 
-    /// Ends all blocking requests: the queries queued behind them must be answered before the kill.
+    /// Ends all blocking requests: the queries queued behind them must be answered before the kill. Those that
+    /// begin to block later are reported one by one.
     fn end_blocking_requests(&mut self, context: &mut Context) {
         for client in self.frontend.clients_with_blocking_requests() {
-            if let Some(id) = self.requests.request_of(client) {
-                self.notify_policy(interface::Event::ShutdownImminent { id }, context);
-            }
+            self.end_blocking_request(client, context);
+        }
+    }
+
+    /// Ends the request that a client waits for, because others wait behind it.
+    fn end_blocking_request(&mut self, client: ConnectionId, context: &mut Context) {
+        if let Some(id) = self.requests.request_of(client) {
+            self.notify_policy(interface::Event::ShutdownImminent { id }, context);
         }
-        self.shutdown.schedule_blocking_request_check(&mut context.reactor);
     }
 }
 
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -8,7 +8,9 @@
 //! | [`GRACE_PERIOD`] | Draining starts. (2) | `Pooler::start_draining` |
 //! | while draining | A connection is closed once its queries are answered. | `ClientConnection::can_close` |
 //! | while draining | Newly received queries are rejected with 57P03. (3) | [`Drain::rejects`] |
+//! | while draining | An empty query that waits for an endpoint is rejected if others wait behind it. | `Frontend::start_draining` |
 //! | [`KILL_MARGIN`] before the kill | Blocking requests are ended. (4) | `Pooler::end_blocking_requests` |
+//! | from then on | Queries that have waited behind others are rejected as well. (4) | [`Drain::rejects`] |
 //! | counted deadline (5) + [`KILL_DELAY`] | Earliest kill. | [`GracefulShutdown::earliest_kill`] |
 //! | listener and last client connection are closed | The process exits. (6) | `Pooler::is_finished` |
 //!
@@ -17,8 +19,9 @@
 //!    reset them and lose the queries already sent on them.
 //! 3. The process may be killed before such a query completes. Queries received earlier are executed.
 //! 4. A request is blocking if its connection has unread input behind it, whether or not that input holds a
-//!    complete query (head-of-line blocking). It gets its final response early, so that the queries behind it
-//!    are answered before the kill. Repeated every [`BLOCKING_REQUEST_INTERVAL`].
+//!    complete query (head-of-line blocking). It gets its final response early, and the queries behind it are
+//!    not started any more, so that all of them are answered before the kill. A request that begins to block
+//!    later is ended at once.
 //! 5. The longest deadline of all classes, capped at [`MAX_COUNTED_DEADLINE`]: requests with a longer
 //!    deadline may be cut off by the kill.
 //! 6. Only while draining. Attempts that no client waits for are dropped.
@@ -40,8 +43,6 @@
 const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
 /// Period before the earliest kill in which no query may wait behind another.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
-/// Interval between checks for blocking requests within [`KILL_MARGIN`].
-const BLOCKING_REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Phase of the shutdown. `Draining` starts when [`GracefulShutdown`] returns its [`Drain`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,6 +59,8 @@
 #[derive(Debug)]
 pub(super) struct GracefulShutdown {
     phase: Phase,
+    /// When the shutdown was requested, if it was.
+    requested_at: Option<Instant>,
     longest_deadline: Duration,
     /// `None` to send no Retry-After.
     retry_after: Option<Duration>,
@@ -68,7 +71,7 @@
     /// `max_retry_after` the longest Retry-After that the settings allow, or `None` if they allow none.
     pub fn new(longest_deadline: Duration, max_retry_after: Option<Duration>) -> GracefulShutdown {
         let retry_after = max_retry_after.map(|longest| longest.min(RETRY_AFTER));
-        GracefulShutdown { phase: Phase::Running, longest_deadline, retry_after }
+        GracefulShutdown { phase: Phase::Running, requested_at: None, longest_deadline, retry_after }
     }
 
     /// Starts the grace period and sets the timers of the later phases. Has no effect once a shutdown was
@@ -80,8 +83,9 @@
         self.phase = Phase::GracePeriod;
         tracing::info!("graceful shutdown started");
         let now = reactor.now();
+        self.requested_at = Some(now);
         reactor.set_timer(now + GRACE_PERIOD, TimerEvent::GracePeriodOver);
-        reactor.set_timer(self.earliest_kill(now) - KILL_MARGIN, TimerEvent::EndBlockingRequests);
+        reactor.set_timer(self.end_of_waiting(now), TimerEvent::EndBlockingRequests);
     }
 
     /// Returns the earliest time at which the process may be killed if shutdown was requested at
@@ -90,36 +94,44 @@
         requested_at + self.longest_deadline.min(MAX_COUNTED_DEADLINE) + KILL_DELAY
     }
 
+    /// Returns from when on no query may wait behind another if shutdown was requested at `requested_at`.
+    fn end_of_waiting(&self, requested_at: Instant) -> Instant {
+        self.earliest_kill(requested_at) - KILL_MARGIN
+    }
+
     /// Enters the phase `Draining` and returns the rules that apply to client connections from `now` on.
     pub fn start_draining(&mut self, now: Instant) -> Drain {
         self.phase = Phase::Draining;
-        Drain { started_at: now, retry_after: self.retry_after }
+        let end_of_waiting = self.end_of_waiting(self.requested_at.unwrap_or(now));
+        Drain { started_at: now, end_of_waiting, retry_after: self.retry_after }
     }
 
     /// Returns `true` if the process exits once no client is connected.
     pub fn is_draining(&self) -> bool {
         self.phase == Phase::Draining
     }
-
-    /// Schedules the next check for blocking requests.
-    pub fn schedule_blocking_request_check(&self, reactor: &mut Reactor) {
-        reactor.set_timer(reactor.now() + BLOCKING_REQUEST_INTERVAL, TimerEvent::EndBlockingRequests);
-    }
 }
 
 /// Rules for queries during the phase `Draining`: which are rejected, and with which Retry-After.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Drain {
     started_at: Instant,
+    /// From when on no query may wait behind another.
+    end_of_waiting: Instant,
     /// `None` to send no Retry-After.
     retry_after: Option<Duration>,
 }
 
 impl Drain {
-    /// Returns `true` if a query received at `received_at` is rejected: the process may be killed before the
-    /// query completes, while another pooler can execute it.
-    pub fn rejects(&self, received_at: Instant) -> bool {
-        received_at > self.started_at
+    /// Returns `true` if a query received at `received_at` is rejected at `now` instead of being started: the
+    /// process may be killed before the query completes, while another pooler can execute it.
+    pub fn rejects(&self, received_at: Instant, now: Instant) -> bool {
+        received_at > self.started_at || self.is_waiting_over(now)
+    }
+
+    /// Returns `true` if no query may wait behind another any more.
+    pub fn is_waiting_over(&self, now: Instant) -> bool {
+        now >= self.end_of_waiting
     }
 
     /// Returns the Retry-After of rejected queries, or `None` to send none.
--- a/src/net/shutdown/tests.rs
+++ b/src/net/shutdown/tests.rs
@@ -44,6 +44,15 @@
 fn only_queries_received_after_the_start_of_draining_are_rejected() {
     let started_at = Instant::now();
     let drain = GracefulShutdown::new(LONGEST_DEADLINE, None).start_draining(started_at);
-    assert!(!drain.rejects(started_at));
-    assert!(drain.rejects(started_at + Duration::from_nanos(1)));
+    assert!(!drain.rejects(started_at, started_at));
+    assert!(drain.rejects(started_at + Duration::from_nanos(1), started_at));
+}
+
+#[test]
+fn shortly_before_the_kill_no_query_is_started_whenever_it_was_received() {
+    let received_at = Instant::now();
+    let drain = GracefulShutdown::new(LONGEST_DEADLINE, None).start_draining(received_at);
+    let end_of_waiting = received_at + Duration::from_millis(3400);
+    assert!(!drain.rejects(received_at, end_of_waiting - Duration::from_nanos(1)));
+    assert!(drain.rejects(received_at, end_of_waiting));
 }
--- a/tests/loopback/shutdown_and_reload.rs
+++ b/tests/loopback/shutdown_and_reload.rs
@@ -215,3 +215,52 @@
     let expected = ErrorResponse { sqlstate: "57P03".to_string(), detail: detail.map(String::from) };
     assert_eq!(busy.receive_error(), expected);
 }
+
+/// Guards against starting the queries that wait behind an ended one, each for a while: with more than a few of
+/// them the last ones were not answered before the kill, nor was one that arrived behind them.
+#[test]
+fn all_queries_that_wait_behind_a_long_one_are_answered_before_the_earliest_kill() {
+    let host = DatabaseHost::new();
+    let (mut pooler, _discovery) = start_with_one_host(&host, &[]);
+    let mut busy = connect_client(&pooler);
+    let mut idle = connect_client(&pooler);
+    let queries = (0..PIPELINED_QUERIES).flat_map(|id| Request::new(id, "reports").message());
+    busy.send(&queries.collect::<Vec<u8>>());
+    let mut backend = host.accept();
+    backend.expect_request("0");
+    let requested_at = Instant::now();
+    pooler.signal(Signal::Terminate);
+    idle.expect_closed_without_reset();
+    busy.send(&Request::new("late", "reports").message());
+    busy.expect_error("53300");
+    for _ in 1..PIPELINED_QUERIES {
+        busy.expect_error("57P03");
+    }
+    busy.expect_error("57P03");
+    assert!(requested_at.elapsed() < EARLIEST_KILL);
+    busy.expect_closed();
+    assert_eq!(pooler.wait_for_exit().code(), Some(0));
+    assert!(pooler.wait_for_log("shut down: ").contains("requests_received=1 "));
+}
+
+/// Guards against closing a connection on which a query waits behind an empty query that no endpoint is known
+/// for: the query was lost.
+#[test]
+fn a_query_behind_an_empty_one_that_waits_for_an_endpoint_is_answered() {
+    let discovery = DiscoveryService::new();
+    let mut pooler = Pooler::start(&EndpointList::snapshot(41, []), &discovery, &[]);
+    let mut client = connect_client(&pooler);
+    let mut idle = connect_client(&pooler);
+    client.send(&[query_message(""), Request::new("1", "reports").message()].concat());
+    pooler.signal(Signal::Terminate);
+    idle.expect_closed_without_reset();
+    client.send(&Request::new("2", "reports").message());
+    client.expect_error("57P03");
+    client.expect_error("53300");
+    client.expect_error("57P03");
+    client.expect_closed_without_reset();
+    assert_eq!(pooler.wait_for_exit().code(), Some(0));
+}
+
+/// Queries that a client sends at once.
+const PIPELINED_QUERIES: usize = 40;
