Do not take the commit time of a keyed write for the present time

Cause: a repeat that the group drops is answered with the time of the old commit. The policy took the position in each answer of a primary for its present time, and two such answers replaced the known clock by one that was behind.

Change: the commit of a keyed write bounds the endpoints' clock from below only. The first attempt counts as well: clients repeat the writes of a pooler that died. `start_with_known_clock` in the loopback tests taught the clock by a keyed write, which is what was wrong; it uses a read at the primary now, and the checks of its tests are unchanged.

The new policy test failed before; four tests of the clock are new.

--- a/src/policy/cluster/clock.rs
+++ b/src/policy/cluster/clock.rs
@@ -2,7 +2,8 @@
 //!
 //! The clock of a machine may have been stepped before the pooler read it, so the two clocks may differ. No
 //! endpoint can have applied commits from the future, and the log position of a primary is its current time,
-//! so each response bounds the offset between the clocks.
+//! so each response bounds the offset between the clocks. A write that was dropped as a repeat is answered
+//! with the time of the earlier commit, which is a bound in one direction only.
 
 use crate::time::{ClusterInstant, LocalInstant, LogPosition, Span};
 
@@ -18,10 +19,14 @@
     measured_at: LocalInstant,
 }
 
+/// The upper end of an interval without an upper bound.
+const UNBOUNDED: Span = Span::from_secs(f64::INFINITY);
+
 /// The interval in which the offset lies according to the response of a primary.
 #[derive(Clone, Copy, Debug)]
 struct OffsetInterval {
     min: Span,
+    /// [`UNBOUNDED`] if the response tells only a past time.
     max: Span,
 }
 
@@ -74,10 +79,21 @@
     ) {
         let min = (time - POSITION_ROUNDING).offset_from(received_at);
         let max = (time + POSITION_ROUNDING).offset_from(sent_at);
-        if self.is_shared || !min.as_secs().is_finite() {
+        self.observe(OffsetInterval { min, max }, received_at);
+    }
+
+    /// Records the commit time in the response of a primary to a write that may have been a repeat: the
+    /// commit may be older than the request. A time that contradicts the known bounds is used only once
+    /// another response confirms it.
+    pub(crate) fn observe_commit(&mut self, time: ClusterInstant, received_at: LocalInstant) {
+        let min = (time - POSITION_ROUNDING).offset_from(received_at);
+        self.observe(OffsetInterval { min, max: UNBOUNDED }, received_at);
+    }
+
+    fn observe(&mut self, measured: OffsetInterval, received_at: LocalInstant) {
+        if self.is_shared || !measured.min.as_secs().is_finite() {
             return;
         }
-        let measured = OffsetInterval { min, max };
         if !self.known_interval(received_at).overlaps(&measured) {
             let is_confirmed = self.contradiction.is_some_and(|earlier| earlier.overlaps(&measured));
             if !is_confirmed {
@@ -86,10 +102,14 @@
             }
             *self = ClusterClock::new(false);
         }
+        self.raise_min_offset(measured.min, received_at);
+        // A past time cannot show that a later clock was wrong.
+        if measured.max == UNBOUNDED {
+            return;
+        }
         self.contradiction = None;
-        self.raise_min_offset(min, received_at);
-        if self.known_max_offset(received_at).is_none_or(|known| max < known) {
-            self.max_offset = Some(OffsetBound { offset: max, measured_at: received_at });
+        if self.known_max_offset(received_at).is_none_or(|known| measured.max < known) {
+            self.max_offset = Some(OffsetBound { offset: measured.max, measured_at: received_at });
         }
     }
 
@@ -118,10 +138,11 @@
     }
 
     /// Returns the offsets that are consistent with the responses of primaries; only zero while there are
-    /// none.
+    /// none, or only such with past times that allow it.
     fn known_interval(&self, now: LocalInstant) -> OffsetInterval {
         let Some(max) = self.known_max_offset(now) else {
-            return OffsetInterval { min: Span::ZERO, max: Span::ZERO };
+            let min = self.known_min_offset(now).unwrap_or_default().max(Span::ZERO);
+            return OffsetInterval { min, max: if min > Span::ZERO { UNBOUNDED } else { Span::ZERO } };
         };
         OffsetInterval { min: self.known_min_offset(now).unwrap_or(max), max }
     }
@@ -129,7 +150,7 @@
     /// Returns the estimated offset: the one nearest to zero that the responses of primaries allow. Responses
     /// of replicas alone are not used, since a low position may be due to lag as well as to a wrong clock.
     fn estimated_offset(&self, now: LocalInstant) -> Span {
-        let Some(max) = self.known_max_offset(now) else { return Span::ZERO };
+        let Some(max) = self.known_max_offset(now) else { return self.known_interval(now).min };
         let min = self.known_min_offset(now).unwrap_or_default();
         Span::ZERO.min(max).max(min)
     }
@@ -156,7 +177,7 @@
 
     /// Returns `true` if a log position is finite and may have been reached by `now`.
     pub(crate) fn is_plausible(&self, position: LogPosition, now: LocalInstant) -> bool {
-        let max_offset = self.known_max_offset(now).unwrap_or_default();
+        let max_offset = self.known_max_offset(now).unwrap_or_else(|| self.estimated_offset(now));
         position.as_secs().is_finite() && position <= now.to_cluster_instant(max_offset) + POSITION_ROUNDING
     }
 }
--- a/src/policy/cluster/clock/tests.rs
+++ b/src/policy/cluster/clock/tests.rs
@@ -106,3 +106,53 @@
     let width = |now: f64| latest(&clock, now) - earliest(&clock, now);
     assert!(width(100_000.0) > width(200.0) && width(200.0) > width(101.0));
 }
+
+/// Guards against taking the time of an old commit for the current time: after two such answers the clock was
+/// replaced by one that was seconds behind, and stale reads were served.
+#[test]
+fn old_commits_do_not_set_the_clock_back() {
+    let mut clock = ClusterClock::new(false);
+    for sent_at in [100.0, 101.0] {
+        observe_primary_response(&mut clock, 0.5, sent_at);
+    }
+    let (earliest_before, latest_before) = (earliest(&clock, 102.0), latest(&clock, 102.0));
+    for _ in 0..12 {
+        clock.observe_commit(cluster_at(100.2), at(102.0));
+    }
+    assert_eq!((earliest(&clock, 102.0), latest(&clock, 102.0)), (earliest_before, latest_before));
+}
+
+#[test]
+fn commits_alone_do_not_bound_the_current_time_from_above() {
+    let mut clock = ClusterClock::new(false);
+    for received_at in [100.0, 101.0] {
+        clock.observe_commit(cluster_at(received_at - 2.0), at(received_at));
+    }
+    assert_eq!(clock.latest(at(102.0)), None);
+    assert_eq!(clock.estimate(at(102.0)), cluster_at(102.0));
+}
+
+#[test]
+fn two_commits_ahead_of_the_clock_show_that_it_is_behind() {
+    let mut clock = ClusterClock::new(false);
+    clock.observe_commit(cluster_at(105.0), at(100.0));
+    assert_eq!(clock.estimate(at(100.0)), cluster_at(100.0), "a single wrong time is not used");
+    clock.observe_commit(cluster_at(105.1), at(100.1));
+    assert!((clock.estimate(at(101.0)) - cluster_at(106.0)).abs() <= secs(ROUNDING_AND_DRIFT));
+    assert!(clock.is_plausible(cluster_at(105.1), at(100.1)));
+    assert_eq!(clock.latest(at(101.0)), None);
+}
+
+/// A wrong clock is corrected by the reads of a primary, whatever writes are answered between them.
+#[test]
+fn old_commits_do_not_keep_a_wrong_clock() {
+    let mut clock = ClusterClock::new(false);
+    for sent_at in [100.0, 101.0] {
+        observe_primary_response(&mut clock, 5.0, sent_at);
+    }
+    for sent_at in [102.0, 103.0] {
+        observe_primary_response(&mut clock, 0.0, sent_at);
+        clock.observe_commit(cluster_at(sent_at - 1.0), at(sent_at + 0.5));
+    }
+    assert!((clock.estimate(at(104.0)) - cluster_at(104.0)).abs() <= secs(ROUND_TRIP));
+}
--- a/src/policy/cluster/mod.rs
+++ b/src/policy/cluster/mod.rs
@@ -15,6 +15,20 @@
 /// Upper limit of [`Cluster::shortest_staleness_bound`], and its value if no class has a staleness bound.
 const MAX_SHORTEST_STALENESS_BOUND: Span = Span::from_secs(1.0);
 
+/// What the log position in a response of a primary tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PositionMeaning {
+    /// Nothing is known of the attempt that was answered.
+    Unknown,
+    /// The time of a commit, which is older than the attempt if the write was dropped as a repeat.
+    Commit,
+    /// The time of the primary when it answered the attempt.
+    CurrentTime {
+        /// When the attempt was sent.
+        sent_at: LocalInstant,
+    },
+}
+
 /// The state of the cluster as known to the pooler.
 pub(crate) struct Cluster {
     settings: Settings,
@@ -50,18 +64,22 @@
         self.endpoints.apply_update(kind, entries, self.now)
     }
 
-    /// Updates an endpoint and the endpoints' clock from a response. `sent_at` is when the attempt was sent,
-    /// if known.
+    /// Updates an endpoint and the endpoints' clock from a response. `meaning` says what the log position in
+    /// a response of a primary tells.
     pub(crate) fn update_from_response(
         &mut self,
         endpoint: EndpointKey,
         result: &AttemptResult,
-        sent_at: Option<LocalInstant>,
+        meaning: PositionMeaning,
     ) {
         if let Some(position) = result.log_position {
-            match sent_at.filter(|_| result.role == Some(Role::Primary)) {
-                Some(sent_at) => self.clock.observe_current_time(position, sent_at, self.now),
-                None => self.clock.observe_past_time(position, self.now),
+            let is_primary = result.role == Some(Role::Primary);
+            match if is_primary { meaning } else { PositionMeaning::Unknown } {
+                PositionMeaning::Unknown => self.clock.observe_past_time(position, self.now),
+                PositionMeaning::Commit => self.clock.observe_commit(position, self.now),
+                PositionMeaning::CurrentTime { sent_at } => {
+                    self.clock.observe_current_time(position, sent_at, self.now);
+                }
             }
         }
         let report = LoadReport { log_position: result.log_position, role: result.role };
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -1,7 +1,7 @@
 //! The life cycle of a request: receipt, dispatch, attempts and the final answer.
 
 use crate::interface::{Action, AttemptResult, GiveUpReason, Outcome, Request, RequestId, StateChange};
-use crate::policy::cluster::EndpointKey;
+use crate::policy::cluster::{EndpointKey, PositionMeaning};
 use crate::policy::endpoint::evidence::Observation;
 use crate::policy::give_up;
 use crate::policy::overdue::{self, OverdueAttempt};
@@ -10,6 +10,7 @@
 use crate::policy::request::{Attempt, EndedAttempt, PendingRequest, RequestContext, RequestKey};
 use crate::policy::retry::{self, Replacement};
 use crate::policy::{Policy, RouteError, RouteResult};
+use crate::settings::Idempotency;
 use crate::time::Span;
 
 /// Share of a request's timeout for which it may wait without reaching an endpoint. The rest leaves its
@@ -160,8 +161,7 @@
     /// Handles the end of an attempt: evaluates its result, and finishes, retries or gives up the request.
     pub(crate) fn attempt_finished(&mut self, result: &AttemptResult) {
         let Some(endpoint) = self.cluster.endpoints().key(&result.endpoint) else { return };
-        let sent_at = self.requests.attempt(result).map(Attempt::sent_at);
-        self.cluster.update_from_response(endpoint, result, sent_at);
+        self.cluster.update_from_response(endpoint, result, self.position_meaning(result));
         self.cluster.update_from_report(endpoint, &result.report);
         if let Some(ended) = self.requests.end_attempt(result) {
             self.record_outcome(&ended, result);
@@ -174,6 +174,22 @@
         self.update_primary(self.cluster.endpoint(endpoint).listing().group());
     }
 
+    /// Returns what the log position in a response tells if a primary has sent it. A write with an
+    /// idempotency key may be a repeat, also on its first attempt here: clients repeat writes that another
+    /// pooler lost.
+    fn position_meaning(&self, result: &AttemptResult) -> PositionMeaning {
+        let request = self.requests.key(&result.id).and_then(|key| self.requests.get(key));
+        let (Some(request), Some(attempt)) = (request, self.requests.attempt(result)) else {
+            return PositionMeaning::Unknown;
+        };
+        let has_key = self.cluster.class(request.class()).idempotency == Idempotency::IdempotencyKey;
+        if has_key && result.outcome == Outcome::Success {
+            PositionMeaning::Commit
+        } else {
+            PositionMeaning::CurrentTime { sent_at: attempt.sent_at() }
+        }
+    }
+
     /// Applies the outcome of an attempt to the state of its endpoint and to the latency of its class.
     fn record_outcome(&mut self, ended: &EndedAttempt, result: &AttemptResult) {
         let now = self.cluster.now();
--- a/tests/loopback/harness/setup.rs
+++ b/tests/loopback/harness/setup.rs
@@ -28,7 +28,7 @@
 const OTHER_GROUP: u32 = 3;
 
 /// Starts a pooler that knows one database host, and the primary of another group. The response of this
-/// primary to a write has told the pooler the database hosts' clock.
+/// primary to a read has told the pooler the database hosts' clock.
 pub fn start_with_known_clock(
     host: &DatabaseHost,
     edits: &[Edit],
@@ -39,7 +39,7 @@
     let known = EndpointList::snapshot(41, [host.entry("s-1", "here"), primary_entry]);
     let pooler = Pooler::start(&known, &discovery, edits);
     let mut client = connect_client(&pooler);
-    client.send(&Request::new("clock", "order-write").group(OTHER_GROUP).message());
+    client.send(&Request::new("clock", "browse").group(OTHER_GROUP).message());
     let mut backend = primary.accept();
     backend.receive_query();
     let position = unix_time().as_millis() as i64;
--- a/tests/policy/read_routing.rs
+++ b/tests/policy/read_routing.rs
@@ -206,3 +206,29 @@
     let fourth = sim.request("b3", EVENTUAL_READ);
     assert_eq!(count_final_answers(&fourth), 1, "the fresh replica is kept for reads that need it");
 }
+
+/// Guards against taking the commit time in the answer to a repeated write for the current time: the required
+/// positions were then seconds too old, and a replica served data older than the bound.
+#[test]
+fn answers_to_repeated_writes_do_not_send_a_bounded_read_to_a_lagging_replica() {
+    let mut sim =
+        Simulation::new(Settings { shares_endpoint_clock: false, ..settings_that_serve_stale_reads() });
+    let answer_as_primary = |sim: &mut Simulation, id: &str, position: f64| {
+        let answer = FinishedAttempt::new(id, PRIMARY, Outcome::Success).role(Role::Primary);
+        sim.finish_attempt_with(answer.log_position(position));
+    };
+    assert_eq!(sim.route("clock", STRONG_READ), PRIMARY);
+    sim.now += 0.02;
+    let position = sim.now;
+    answer_as_primary(&mut sim, "clock", position);
+    let committed_at = sim.now;
+    sim.now += 1.0;
+    for id in ["w1", "w2", "w3"] {
+        assert_eq!(sim.route(id, KEYED_WRITE), PRIMARY);
+        sim.now += 0.02;
+        answer_as_primary(&mut sim, id, committed_at);
+    }
+    let lagging = sim.now - 1.2;
+    sim.report_position(LOCAL_REPLICA, lagging);
+    assert_eq!(sim.route("read", BOUNDED_READ), PRIMARY);
+}
