Read a client's socket to its end while its query runs

Cause: while a query ran, a connection was read up to the limit of its buffer. What the client sent beyond that stayed in the socket, with the close behind it, so that no event told of it. The running request went on as well, and would have been retried.

Change: what does not fit behind a running query is read and not kept. `ExcessInput` counts its messages in constant memory, and each gets a refusal (53300) in its turn. The index of the waiting queries now counts against the memory budget; without memory for it, queries are refused in the same way. Queries beyond 160 KiB behind a running one, which were served before, are refused now.

The loopback tests in `pipelining` fail on the build before: the client cannot write on.

--- a/src/net/buffer/memory_budget.rs
+++ b/src/net/buffer/memory_budget.rs
@@ -59,7 +59,7 @@
     }
 
     /// Returns all bytes to the budget.
-    pub(super) fn release(&mut self) {
+    pub fn release(&mut self) {
         // Shrinking a reservation cannot exceed the budget.
         let _ = self.resize(0);
     }
--- a/src/net/buffer/ring_buffer.rs
+++ b/src/net/buffer/ring_buffer.rs
@@ -175,6 +175,18 @@
         self.free_if_empty();
     }
 
+    /// Removes and returns the bytes that start `offset` bytes behind the front. They do not count as received
+    /// any more.
+    pub fn split_off(&mut self, offset: usize) -> Vec<u8> {
+        let offset = offset.min(self.len);
+        let mut bytes = vec![0; self.len - offset];
+        self.copy_from(offset, &mut bytes);
+        self.len = offset;
+        self.total_received -= bytes.len() as u64;
+        self.free_if_empty();
+        bytes
+    }
+
     /// Grows the buffer if it has no room for `additional` bytes.
     fn reserve(&mut self, additional: usize) -> Result<(), CapacityExceeded> {
         let needed = self.len + additional;
--- a/src/net/buffer/tests.rs
+++ b/src/net/buffer/tests.rs
@@ -109,3 +109,17 @@
     drop(reservation);
     assert_eq!(budget.available(), 100);
 }
+
+#[test]
+fn bytes_that_are_split_off_do_not_count_as_received() {
+    let mut buffer = RingBuffer::new(&MemoryBudget::new(MAX_BUFFER_SIZE));
+    buffer.push(&[0; INITIAL_SIZE - 2]).unwrap();
+    buffer.consume(INITIAL_SIZE - 4);
+    // The content wraps around the end of the allocation.
+    buffer.push(b"abcd").unwrap();
+    assert_eq!(buffer.split_off(3), b"bcd");
+    assert_eq!((buffer.total_received(), buffer.len()), (INITIAL_SIZE as u64 - 1, 3));
+    assert_eq!(buffer.split_off(9), b"");
+    buffer.push(b"e").unwrap();
+    assert_eq!(buffer.take(9), b"\0\0ae");
+}
--- a/src/net/frontend/arrivals.rs
+++ b/src/net/frontend/arrivals.rs
@@ -44,6 +44,15 @@
         self.arrivals.front().map(|arrival| arrival.received_at)
     }
 
+    /// Forgets the bytes after the first `total_received`.
+    pub(super) fn truncate(&mut self, total_received: u64) {
+        let kept = self.arrivals.partition_point(|arrival| arrival.end_offset < total_received);
+        self.arrivals.truncate(kept + 1);
+        if let Some(last) = self.arrivals.back_mut() {
+            last.end_offset = last.end_offset.min(total_received);
+        }
+    }
+
     fn drop_while(&mut self, is_outdated: impl Fn(&Arrival) -> bool) {
         while self.arrivals.front().is_some_and(&is_outdated) {
             self.arrivals.pop_front();
--- a/src/net/frontend/connection.rs
+++ b/src/net/frontend/connection.rs
@@ -8,12 +8,13 @@
 use super::cycle::CycleContext;
 use super::deadline::ClientDeadline;
 use super::error::MustClose;
+use super::input::InputStatus;
 use super::output::FlushStatus;
 use super::protocol_state::Phase;
 use super::service_status::ServiceStatus;
 use super::session::{MessageStatus, Session};
 use super::socket::ClientSocket;
-use crate::net::buffer::{MemoryBudget, ReadStatus};
+use crate::net::buffer::MemoryBudget;
 use crate::net::reactor::{ConnectionId, EventSource, Resumption, TimerEvent};
 use crate::net::shutdown::Drain;
 use crate::net::{CancelKey, Context, Response};
@@ -23,10 +24,13 @@
 /// the event loop.
 const MAX_MESSAGES_PER_CYCLE: usize = 32;
 
-/// Why a batch of messages ended.
+/// How a batch of messages ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum BatchStatus {
-    /// The client must send or read more, or a response or an endpoint must become available.
+    /// No message could be processed: the client must send or read more, or a response or an endpoint must
+    /// become available.
+    Empty,
+    /// Some messages were processed, and the same holds for the next one.
     Blocked,
     /// [`MAX_MESSAGES_PER_CYCLE`] messages were processed, and there may be more.
     LimitReached,
@@ -138,14 +142,22 @@
 
     /// Reads at most one buffer and processes its messages.
     fn read_and_process(&mut self, cycle: &mut CycleContext, now: Instant) -> Result<(), MustClose> {
+        // A query that was answered meanwhile has made room. Otherwise, what the client sends behind the
+        // running query must be read all the same, since the end of the connection may be behind it.
+        if self.socket_has_input && self.session.refuse_excess_input() {
+            tracing::info!(client = %cycle.id, "refusing queries: the client sends too many at once");
+        }
         let status = self.session.read_from(&mut self.socket, now)?;
-        self.socket_has_input = status == ReadStatus::Full;
-        let unprocessed_before = self.session.unprocessed_bytes();
+        self.socket_has_input = status != InputStatus::Drained;
         let batch = self.process_messages(cycle)?;
         self.session.claim_waiting_ids(&cycle.context.request_ids);
-        let made_room = self.session.unprocessed_bytes() != unprocessed_before;
-        // Events are edge-triggered, so no event announces again what did not fit into a full buffer.
-        if batch == BatchStatus::LimitReached || self.socket_has_input && made_room {
+        // Events are edge-triggered, so no event announces again what was left in the socket.
+        let can_read_more = match status {
+            InputStatus::Drained => false,
+            InputStatus::MoreToRead => true,
+            InputStatus::Full => batch != BatchStatus::Empty || self.session.is_blocked(),
+        };
+        if batch == BatchStatus::LimitReached || can_read_more {
             self.schedule_cycle(cycle.id, cycle.context);
         } else if self.socket_has_input {
             self.close_if_out_of_memory(cycle.id, cycle.context)?;
@@ -156,13 +168,15 @@
     /// Processes the messages in the input one by one. Each is taken only after all previous responses are
     /// written, so that a client that sends without reading cannot use more memory than its buffers.
     fn process_messages(&mut self, cycle: &mut CycleContext) -> Result<BatchStatus, MustClose> {
+        let mut status = BatchStatus::Empty;
         for _ in 0..MAX_MESSAGES_PER_CYCLE {
             if self.flush()? != FlushStatus::Complete {
-                return Ok(BatchStatus::Blocked);
+                return Ok(status);
             }
             if self.session.process_next_message(cycle)? == MessageStatus::Blocked {
-                return Ok(BatchStatus::Blocked);
+                return Ok(status);
             }
+            status = BatchStatus::Blocked;
             if self.session.phase().is_closing() {
                 self.update_deadline(cycle.id, cycle.context);
             }
@@ -207,7 +221,7 @@
 
     /// Returns `true` if input is not yet processed, or is left in the socket.
     fn has_unread_input(&self) -> bool {
-        self.session.unprocessed_bytes() > 0 || self.socket_has_input
+        self.session.has_unprocessed_input() || self.socket_has_input
     }
 
     /// Writes the output to the socket. Shuts down the sending direction of a closing connection once all
--- a/src/net/frontend/input.rs
+++ b/src/net/frontend/input.rs
@@ -1,20 +1,41 @@
 //! The input of a client connection: bytes that are not yet processed, and when they were received.
 
-use std::io::Read;
+use std::io::{ErrorKind, Read};
 use std::time::Instant;
 
 use super::arrivals::ArrivalTimes;
 use super::error::MustClose;
+use super::excess_input::{ExcessInput, ExcessStep};
 use super::waiting_queries::WaitingQueries;
-use crate::net::buffer::{CapacityExceeded, MemoryBudget, MemoryReservation, ReadStatus, RingBuffer};
+use crate::net::buffer::{
+    CapacityExceeded, MemoryBudget, MemoryReservation, ReadStatus, RingBuffer, MAX_BUFFER_SIZE,
+};
 use crate::net::postgres::{self, ClientMessage, ProtocolError, StartupRequest};
 use crate::net::request_ids::{IdClaim, RequestIds};
 
+/// Size of the pieces in which excess input is read (bytes).
+const EXCESS_PIECE_SIZE: usize = 16 * 1024;
+/// Maximum number of such pieces that are read at a time, about as much as the buffer holds.
+const MAX_EXCESS_PIECES: usize = MAX_BUFFER_SIZE / EXCESS_PIECE_SIZE;
+
+/// Whether the source of the input has more available.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum InputStatus {
+    /// It has not, or will report it.
+    Drained,
+    /// It may have more, which the next call reads.
+    MoreToRead,
+    /// It may have more, which can be read once input was processed: the buffer is full.
+    Full,
+}
+
 /// The input buffer and the arrival times of its content.
 pub(super) struct Input {
     buffer: RingBuffer,
     arrival_times: ArrivalTimes,
     waiting_queries: WaitingQueries,
+    /// What was received behind the content of the buffer and was not kept, if anything.
+    excess: Option<ExcessInput>,
     last_received_at: Instant,
 }
 
@@ -24,19 +45,26 @@
         Input {
             buffer: RingBuffer::new(budget),
             arrival_times: ArrivalTimes::default(),
-            waiting_queries: WaitingQueries::default(),
+            waiting_queries: WaitingQueries::new(budget),
+            excess: None,
             last_received_at: now,
         }
     }
 
-    /// Returns the number of bytes that are not yet processed.
-    pub(super) fn len(&self) -> usize {
+    /// Returns `true` if all input is processed.
+    pub(super) fn is_empty(&self) -> bool {
+        self.buffer.is_empty() && self.excess.is_none()
+    }
+
+    /// Returns the number of bytes in the buffer.
+    #[cfg(test)]
+    pub(super) fn buffered_bytes(&self) -> usize {
         self.buffer.len()
     }
 
-    /// Returns `true` if all input is processed.
-    pub(super) fn is_empty(&self) -> bool {
-        self.buffer.is_empty()
+    /// Returns `true` if queries that were not kept must be refused.
+    pub(super) fn has_unanswered_excess(&self) -> bool {
+        self.excess.as_ref().is_some_and(ExcessInput::has_unanswered)
     }
 
     /// Returns when input was last received, or when the connection was accepted if there was none.
@@ -44,12 +72,25 @@
         self.last_received_at
     }
 
-    /// Reads the available input and records `now` as its time of arrival. Fails if the source has ended.
+    /// Reads the available input, at most one buffer, and records `now` as its time of arrival. Once input was
+    /// not kept, further input is read while a query is running (`is_blocked`) or all queries before it are
+    /// answered, so that no more is read than the client reads responses. Fails if the source has ended.
     pub(super) fn read_from(
         &mut self,
         source: &mut impl Read,
+        is_blocked: bool,
         now: Instant,
-    ) -> Result<ReadStatus, MustClose> {
+    ) -> Result<InputStatus, MustClose> {
+        if self.excess.is_none() {
+            return self.read_into_buffer(source, now);
+        }
+        if is_blocked || !self.has_unanswered_excess() {
+            return self.read_excess(source, now);
+        }
+        Ok(InputStatus::Full)
+    }
+
+    fn read_into_buffer(&mut self, source: &mut impl Read, now: Instant) -> Result<InputStatus, MustClose> {
         let received_before = self.buffer.total_received();
         let status = self.buffer.read_from(source)?;
         if status == ReadStatus::EndOfStream {
@@ -60,7 +101,55 @@
         if received > received_before {
             self.last_received_at = now;
         }
-        Ok(status)
+        Ok(if status == ReadStatus::Full { InputStatus::Full } else { InputStatus::Drained })
+    }
+
+    fn read_excess(&mut self, source: &mut impl Read, now: Instant) -> Result<InputStatus, MustClose> {
+        let Some(excess) = &mut self.excess else { return Ok(InputStatus::Drained) };
+        let mut piece = [0; EXCESS_PIECE_SIZE];
+        let mut pieces = 0;
+        while pieces < MAX_EXCESS_PIECES {
+            match source.read(&mut piece) {
+                Ok(0) => return Err(MustClose::ClientDisconnected),
+                Ok(length) => {
+                    excess.add(&piece[..length]);
+                    self.last_received_at = now;
+                    pieces += 1;
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(InputStatus::Drained),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error.into()),
+            }
+        }
+        Ok(InputStatus::MoreToRead)
+    }
+
+    /// Stops keeping input, because the buffer is full while a query is running: the messages behind the
+    /// complete ones in the buffer are refused. Without this, the end of the connection could not be seen
+    /// behind them. Returns `false` if input is refused already.
+    pub(super) fn refuse_excess(&mut self) -> bool {
+        if self.excess.is_some() {
+            return false;
+        }
+        let kept = self.waiting_queries.indexed_length(&self.buffer);
+        let mut excess = ExcessInput::default();
+        excess.add(&self.buffer.split_off(kept));
+        self.arrival_times.truncate(self.buffer.total_received());
+        self.excess = Some(excess);
+        true
+    }
+
+    /// Returns what the excess input requires once all messages in the buffer are processed. Fails if the
+    /// client has violated the protocol there.
+    pub(super) fn next_excess_step(&mut self) -> Result<ExcessStep, ProtocolError> {
+        let Some(excess) = self.excess.as_mut().filter(|_| self.buffer.is_empty()) else {
+            return Ok(ExcessStep::Wait);
+        };
+        let step = excess.next_step()?;
+        if excess.is_finished() {
+            self.excess = None;
+        }
+        Ok(step)
     }
 
     /// Reads at most one buffer of input and discards it. Returns `true` if more may be left in the source.
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -15,6 +15,7 @@
 //!     - [`input`]: bytes received and not yet processed, with their arrival times ([`arrivals`]).
 //!     - [`output`]: responses and errors that are not yet written.
 //!   - [`deadline`]: the action expected from the client, and its deadline.
+//!     - [`excess_input`]: input that is not kept, whose queries are refused.
 //!     - [`waiting_queries`]: the queries in the input that wait for the running one.
 //! - [`cycle`], [`service_status`], [`error`], [`log_limiter`]: shared by several of these modules.
 
@@ -26,6 +27,7 @@
 mod cycle;
 mod deadline;
 mod error;
+mod excess_input;
 mod idle;
 mod input;
 mod log_limiter;
--- a/src/net/frontend/session.rs
+++ b/src/net/frontend/session.rs
@@ -8,11 +8,11 @@
 
 use super::deadline::ExpectedAction;
 use super::error::MustClose;
-use super::input::Input;
+use super::input::{Input, InputStatus};
 use super::output::{FlushStatus, Output};
 use super::protocol_state::{Phase, ProtocolState};
 use crate::counters::Counters;
-use crate::net::buffer::{MemoryBudget, ReadStatus};
+use crate::net::buffer::MemoryBudget;
 use crate::net::postgres::{sqlstate, StartupRequest};
 use crate::net::request_ids::RequestIds;
 use crate::net::shutdown::Drain;
@@ -87,7 +87,7 @@
             return false;
         }
         // If the output is empty, all complete messages are processed. Otherwise, the input may hold a query.
-        self.output.is_empty() || self.input.is_empty()
+        self.output.is_empty() && !self.input.has_unanswered_excess() || self.input.is_empty()
     }
 
     /// Returns the action expected from the client next, if any.
@@ -100,6 +100,8 @@
             Phase::Startup | Phase::Idle | Phase::SkippingToSync if has_unread_output => {
                 Some(ExpectedAction::Read)
             }
+            // The refusals that are due are the pooler's turn.
+            Phase::Idle | Phase::SkippingToSync if self.input.has_unanswered_excess() => None,
             Phase::Startup => Some(ExpectedAction::Send),
             Phase::Idle | Phase::SkippingToSync => {
                 (!self.state.has_queried() || !self.input.is_empty()).then_some(ExpectedAction::Send)
@@ -107,9 +109,20 @@
         }
     }
 
-    /// Returns the number of bytes that are received but not yet processed.
-    pub(super) fn unprocessed_bytes(&self) -> usize {
-        self.input.len()
+    /// Returns `true` if input is received but not yet processed.
+    pub(super) fn has_unprocessed_input(&self) -> bool {
+        !self.input.is_empty()
+    }
+
+    /// Returns the number of bytes in the input buffer.
+    #[cfg(test)]
+    pub(super) fn buffered_bytes(&self) -> usize {
+        self.input.buffered_bytes()
+    }
+
+    /// Returns `true` if no message is processed until a response or an endpoint is available.
+    pub(super) fn is_blocked(&self) -> bool {
+        matches!(self.phase(), Phase::Busy | Phase::AwaitingEndpoints)
     }
 
     /// Reads the available input, with `now` as its time of arrival. Fails if the client has closed the
@@ -118,8 +131,14 @@
         &mut self,
         source: &mut impl Read,
         now: Instant,
-    ) -> Result<ReadStatus, MustClose> {
-        self.input.read_from(source, now)
+    ) -> Result<InputStatus, MustClose> {
+        self.input.read_from(source, self.is_blocked(), now)
+    }
+
+    /// Refuses the queries that the input cannot hold while the session is blocked. Returns `true` if that
+    /// begins now.
+    pub(super) fn refuse_excess_input(&mut self) -> bool {
+        self.is_blocked() && self.input.refuse_excess()
     }
 
     /// Discards the available input, at most one buffer. Returns `true` if more may be left. Fails if the
--- a/src/net/frontend/session/messages.rs
+++ b/src/net/frontend/session/messages.rs
@@ -5,6 +5,7 @@
 use super::Session;
 use crate::net::frontend::cycle::CycleContext;
 use crate::net::frontend::error::MustClose;
+use crate::net::frontend::excess_input::ExcessStep;
 use crate::net::frontend::protocol_state::Phase;
 use crate::net::postgres::{
     self, sqlstate, ClientMessage, ClientMessageKind, ParsedQuery, ProtocolError, StartupRequest,
@@ -35,6 +36,7 @@
         cycle: &mut CycleContext,
     ) -> Result<MessageStatus, MustClose> {
         match self.next_message() {
+            Ok(None) if self.phase().is_reading() => return self.process_excess(cycle.context),
             Ok(None) => return Ok(MessageStatus::Blocked),
             Ok(Some(IncomingMessage::Startup(startup))) => self.process_startup(startup, cycle.context)?,
             Ok(Some(IncomingMessage::Message(message))) => {
@@ -45,6 +47,21 @@
         Ok(MessageStatus::Processed)
     }
 
+    /// Processes the next message that was not kept, once all others are processed.
+    fn process_excess(&mut self, context: &mut Context) -> Result<MessageStatus, MustClose> {
+        match self.input.next_excess_step() {
+            Ok(ExcessStep::Wait) => return Ok(MessageStatus::Blocked),
+            Ok(ExcessStep::Refuse) => {
+                context.counters.rejected += 1;
+                let message = "too many queries at once";
+                self.output.push_rejection(sqlstate::TOO_MANY_CONNECTIONS, message, None)?;
+            }
+            Ok(ExcessStep::Close) => return Err(MustClose::ClientDisconnected),
+            Err(error) => self.close_with_protocol_error(error, context)?,
+        }
+        Ok(MessageStatus::Processed)
+    }
+
     /// Takes the next message from the input if it is complete and the state allows it to be processed.
     fn next_message(&mut self) -> Result<Option<IncomingMessage>, ProtocolError> {
         match self.phase() {
--- a/src/net/frontend/tests.rs
+++ b/src/net/frontend/tests.rs
@@ -97,7 +97,7 @@
     let id = fixture.connection_id();
     let query = postgres::query_message(QUERY);
     fixture.client.write_all(&[STARTUP, &query, &query].concat()).unwrap();
-    while fixture.connection().session().unprocessed_bytes() != query.len() {
+    while fixture.connection().session().buffered_bytes() != query.len() {
         fixture.frontend.ready(id, &mut fixture.context);
     }
     fixture.frontend.respond(id, Response::Failed, &mut fixture.context);
--- a/src/net/postgres/framing.rs
+++ b/src/net/postgres/framing.rs
@@ -23,10 +23,10 @@
 }
 
 /// The header of a message.
-struct MessageHeader {
+pub(super) struct MessageHeader {
     first_byte: u8,
     /// In bytes.
-    body_length: usize,
+    pub body_length: usize,
 }
 
 /// Consumes the next client message, or returns `None` if it is incomplete.
@@ -91,10 +91,15 @@
 /// Returns the header of the message that starts `offset` bytes behind the front, or `None` if it is
 /// incomplete.
 fn peek_header(buffer: &RingBuffer, offset: usize) -> Result<Option<MessageHeader>, ProtocolError> {
-    let Some([first_byte, length @ ..]) = buffer.peek_at::<HEADER_SIZE>(offset) else { return Ok(None) };
+    buffer.peek_at::<HEADER_SIZE>(offset).map(parse_header).transpose()
+}
+
+/// Parses the header of a message. Fails if its length is invalid.
+pub(super) fn parse_header(header: [u8; HEADER_SIZE]) -> Result<MessageHeader, ProtocolError> {
+    let [first_byte, length @ ..] = header;
     let length = u32::from_be_bytes(length) as usize;
     let body_length = length.checked_sub(LENGTH_SIZE).ok_or(ProtocolError::Malformed)?;
-    Ok(Some(MessageHeader { first_byte, body_length }))
+    Ok(MessageHeader { first_byte, body_length })
 }
 
 /// Consumes the message with this header and returns its body, or `None` if it is incomplete.
--- a/src/net/postgres/mod.rs
+++ b/src/net/postgres/mod.rs
@@ -20,6 +20,7 @@
 mod error_response;
 mod framing;
 mod message;
+mod message_counter;
 mod message_kind;
 mod query;
 mod query_comment;
@@ -35,6 +36,7 @@
 pub(crate) use error_response::{error_response, parse_error_response, Severity};
 pub(crate) use framing::{peek_client_message, read_backend_message, read_client_message, ProtocolError};
 pub(crate) use message::{append_message, BackendMessage, ClientMessage};
+pub(crate) use message_counter::MessageCounter;
 pub(crate) use message_kind::{BackendMessageKind, ClientMessageKind};
 pub(crate) use query::{parse_query, query_message, ParsedQuery};
 pub(crate) use sqlstate::is_statement_error;
--- a/tests/loopback/harness/wire.rs
+++ b/tests/loopback/harness/wire.rs
@@ -14,6 +14,7 @@
     pub const QUERY: u8 = b'Q';
     pub const READY_FOR_QUERY: u8 = b'Z';
     pub const ROW_DESCRIPTION: u8 = b'T';
+    pub const SYNC: u8 = b'S';
 }
 
 /// SSLRequest: asks for an encrypted connection. The server answers with [`ENCRYPTION_DECLINED`] or `S`.
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -19,6 +19,7 @@
 mod hedging;
 mod log_lines;
 mod malformed_responses;
+mod pipelining;
 mod request_ids;
 mod routing;
 mod shutdown_and_reload;
