Keep the ID of a request in use while an endpoint may still run it

Cause: the ID was released once the attempt was given up here. A host that was given up may still run it.

--- a/src/net/frontend/input.rs
+++ b/src/net/frontend/input.rs
@@ -190,12 +190,12 @@
 
     /// Claims the IDs of all queries that are received completely and not yet processed.
     pub(super) fn claim_waiting_ids(&mut self, ids: &RequestIds) {
-        self.waiting_queries.index(&self.buffer, ids);
+        self.waiting_queries.index(&self.buffer, ids, self.last_received_at);
     }
 
     /// Returns the claim to the ID of the query that was just taken, or `None` if the ID is in use.
     pub(super) fn take_id_claim(&mut self, id: &str, ids: &RequestIds) -> Option<IdClaim> {
-        self.waiting_queries.take_claim(&self.buffer, id, ids)
+        self.waiting_queries.take_claim(&self.buffer, id, ids, self.last_received_at)
     }
 
     /// Reserves `bytes` of the memory budget for a message that was taken and is stored elsewhere.
--- a/src/net/frontend/waiting_queries.rs
+++ b/src/net/frontend/waiting_queries.rs
@@ -2,6 +2,7 @@
 //! that no other client may use their IDs.
 
 use std::collections::VecDeque;
+use std::time::Instant;
 
 use crate::net::buffer::{MemoryBudget, MemoryReservation, RingBuffer};
 use crate::net::postgres::{self, ClientMessage, ClientMessageKind, ParsedQuery};
@@ -35,7 +36,7 @@
     }
 
     /// Adds the messages that `input` holds and that are not indexed yet, as far as there is memory.
-    pub(super) fn index(&mut self, input: &RingBuffer, ids: &RequestIds) {
+    pub(super) fn index(&mut self, input: &RingBuffer, ids: &RequestIds, now: Instant) {
         self.drop_consumed(input);
         loop {
             let offset = (self.indexed_until - input.total_consumed()) as usize;
@@ -46,7 +47,7 @@
                 if self.memory.resize((self.queries.len() + 1) * ENTRY_SIZE).is_err() {
                     return;
                 }
-                self.queries.push_back(WaitingQuery { end_offset, claim: ids.claim(&query.id) });
+                self.queries.push_back(WaitingQuery { end_offset, claim: ids.claim(&query.id, now) });
             }
             self.indexed_until = end_offset;
         }
@@ -59,11 +60,17 @@
 
     /// Returns the claim to the ID of the query that was just consumed from `input`, or `None` if the ID is in
     /// use.
-    pub(super) fn take_claim(&mut self, input: &RingBuffer, id: &str, ids: &RequestIds) -> Option<IdClaim> {
+    pub(super) fn take_claim(
+        &mut self,
+        input: &RingBuffer,
+        id: &str,
+        ids: &RequestIds,
+        now: Instant,
+    ) -> Option<IdClaim> {
         let end_offset = input.total_consumed();
         match self.queries.pop_front_if(|query| query.end_offset == end_offset) {
             Some(query) => query.claim,
-            None => ids.claim(id),
+            None => ids.claim(id, now),
         }
     }
 
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -76,8 +76,8 @@
     /// The class requires an idempotency key and the query carries none.
     #[error("this class needs a key")]
     MissingIdempotencyKey,
-    /// Another request with the same ID is open.
-    #[error("this id is in use")]
+    /// Another request with the same ID is open, or may still run.
+    #[error("this id is in use, or its request may still run")]
     DuplicateId,
     /// An endpoint rejected the statement with an error that every endpoint would return.
     #[error("no database host takes this statement")]
--- a/src/net/pooler/actions.rs
+++ b/src/net/pooler/actions.rs
@@ -32,6 +32,7 @@
             }
             Action::Fail { id, reason } => {
                 tracing::info!(request = %id, %reason, "request failed");
+                self.requests.retain_id(&id, context.reactor.now());
                 self.finish_request(&id, Response::Failed, context);
             }
             Action::SetTimer { at, cookie } => {
--- a/src/net/pooler/active_requests/mod.rs
+++ b/src/net/pooler/active_requests/mod.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Instant;
 
 use crate::interface::RequestId;
 use crate::net::messages::{AttemptTask, Statement};
@@ -24,7 +25,7 @@
     client: Option<ConnectionId>,
     statement: Rc<Statement>,
     /// Keeps other requests from using the ID.
-    _id_claim: Option<IdClaim>,
+    id_claim: Option<IdClaim>,
     /// Number of attempts started.
     attempts: usize,
     /// Attempts whose results are not handled yet; more than one for a hedged request.
@@ -83,7 +84,7 @@
         let request = ActiveRequest {
             client: Some(client),
             statement: Rc::new(statement),
-            _id_claim: id_claim,
+            id_claim,
             attempts: 0,
             in_flight: Vec::new(),
         };
@@ -135,6 +136,14 @@
         Some(AbandonedRequest { id, connections })
     }
 
+    /// Keeps the ID of a request in use for a while after its end if an attempt may still run.
+    pub fn retain_id(&mut self, id: &str, now: Instant) {
+        let Some(request) = self.requests.get_mut(id).filter(|request| request.attempts > 0) else { return };
+        if let Some(claim) = &mut request.id_claim {
+            claim.retain(now);
+        }
+    }
+
     /// Returns the request that a client waits for, if any.
     pub fn request_of(&self, client: ConnectionId) -> Option<RequestId> {
         self.by_client.get(&client).cloned()
--- a/src/net/pooler/queries.rs
+++ b/src/net/pooler/queries.rs
@@ -128,6 +128,7 @@
         let Some(request) = self.requests.abandon(client) else { return };
         context.counters.client_disconnects += 1;
         tracing::info!(request = %request.id, "request abandoned by its client");
+        self.requests.retain_id(&request.id, context.reactor.now());
         self.notify_policy(interface::Event::ClientDisconnected { id: request.id.clone() }, context);
         for connection in request.connections {
             self.backend.cancel(connection, context);
--- a/tests/loopback/request_ids.rs
+++ b/tests/loopback/request_ids.rs
@@ -69,3 +69,35 @@
     other.send(&read("2"));
     host.accept().expect_request("2");
 }
+
+/// Guards against releasing the ID of a request while an endpoint may still run it: it ran twice when it came
+/// again after its client had left.
+#[test]
+fn the_id_of_a_request_that_was_sent_is_in_use_after_its_client_has_gone() {
+    let host = DatabaseHost::new();
+    let (pooler, _discovery) = start_with_one_host(&host, &[]);
+    let mut gone = connect_client(&pooler);
+    let mut other = connect_client(&pooler);
+    let mut backend = start_read(&host, &mut gone, "1");
+    gone.close();
+    backend.expect_closed();
+    other.send(&read("1"));
+    other.expect_error("22023");
+    start_read(&host, &mut other, "2");
+}
+
+/// The same for a request that has failed: the endpoint that did not answer may run it yet.
+#[test]
+fn the_id_of_a_request_that_failed_is_in_use() {
+    let host = DatabaseHost::new();
+    let no_retries = Edit { from: r#""maxAttempts":6"#, to: r#""maxAttempts":1"# };
+    let (pooler, _discovery) = start_with_one_host(&host, &[no_retries]);
+    let mut client = connect_client(&pooler);
+    client.send(&Request::new("1", "order-write").message());
+    let mut backend = host.accept();
+    backend.expect_request("1");
+    backend.reset();
+    client.expect_error("58000");
+    client.send(&Request::new("1", "order-write").message());
+    client.expect_error("22023");
+}
