Leave no timers behind for requests that are answered

Cause: timers cannot be cancelled. Each request set two of them, which stayed up to its deadline even if it was answered at once, and each answer set one for the next input of its client.

Change: a request sets a timer only if it is not answered at once, and the one for its final answer only after the one for its queue time. A client has one timer at a time.

--- a/src/net/frontend/connection.rs
+++ b/src/net/frontend/connection.rs
@@ -289,6 +289,13 @@
         }
     }
 
+    /// Sets the next timer after one has expired, unless the deadline has passed.
+    pub(super) fn continue_deadline(&mut self, id: ConnectionId, context: &mut Context) {
+        if let Some(expires_at) = self.deadline.timer_expired(context.reactor.now()) {
+            context.reactor.set_timer(expires_at, TimerEvent::Client(id));
+        }
+    }
+
     /// Passes on a cancel request that is still unread when the connection is removed.
     pub(super) fn process_final_cancel_request(&mut self, context: &mut Context) {
         self.session.process_final_cancel_request(&mut self.socket, context);
--- a/src/net/frontend/deadline.rs
+++ b/src/net/frontend/deadline.rs
@@ -42,6 +42,8 @@
 #[derive(Debug)]
 pub(super) struct ClientDeadline {
     current: Option<ActionDeadline>,
+    /// When the timer expires that is set for it or for an earlier one. Timers cannot be cancelled.
+    timer_at: Option<Instant>,
     client_read_timeout: Duration,
 }
 
@@ -49,7 +51,7 @@
     /// Creates the deadline of a client from which no action is expected. `client_read_timeout` is the time
     /// limit for reading its responses.
     pub(super) fn new(client_read_timeout: Duration) -> ClientDeadline {
-        ClientDeadline { current: None, client_read_timeout }
+        ClientDeadline { current: None, timer_at: None, client_read_timeout }
     }
 
     /// Removes the deadline.
@@ -63,14 +65,31 @@
     }
 
     /// Sets a new deadline, counted from `now`, if `action` differs from the current one, and removes the
-    /// deadline if no action is expected any more. Returns when a new deadline expires; the caller must set a
-    /// timer for it.
+    /// deadline if no action is expected any more. Returns when a timer must expire that the caller must set.
     pub(super) fn update(&mut self, action: Option<ExpectedAction>, now: Instant) -> Option<Instant> {
         if action == self.current.map(|current| current.action) {
             return None;
         }
         self.current = action.map(|action| ActionDeadline { action, expires_at: now + self.timeout(action) });
-        self.current.map(|current| current.expires_at)
+        self.next_timer()
+    }
+
+    /// Records that a timer has expired. Returns when the next one must expire that the caller must set: the
+    /// deadline may have moved since.
+    pub(super) fn timer_expired(&mut self, now: Instant) -> Option<Instant> {
+        if self.timer_at.is_some_and(|at| at <= now) {
+            self.timer_at = None;
+        }
+        self.next_timer()
+    }
+
+    fn next_timer(&mut self) -> Option<Instant> {
+        let expires_at = self.current?.expires_at;
+        if self.timer_at.is_some_and(|at| at <= expires_at) {
+            return None;
+        }
+        self.timer_at = Some(expires_at);
+        self.timer_at
     }
 
     fn timeout(&self, action: ExpectedAction) -> Duration {
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -136,7 +136,7 @@
         let Some(connection) = self.connections.get_mut(id) else { return };
         // Timers are not cancelled, so this one may belong to an earlier deadline.
         if !connection.has_missed_deadline(now) {
-            return;
+            return connection.continue_deadline(id, context);
         }
         let result = connection
             .handle_missed_deadline(id, context)
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -32,15 +32,15 @@
             return;
         }
         self.record_request(&request);
-        let now = self.cluster.now();
         let context = self.create_context(&request);
         let queue_deadline = context.queue_deadline;
-        let final_answer_at = (context.deadline - self.cluster.settings().tick).max(now);
         let key = self.requests.insert(PendingRequest::new(request, context));
-        self.actions.push(Action::SetTimer { at: queue_deadline, cookie: key });
-        // Guarantees a final answer just before the deadline.
-        self.actions.push(Action::SetTimer { at: final_answer_at, cookie: key });
+        let first_action = self.actions.len();
         self.dispatch(key);
+        // A timer cannot be cancelled, so a request that is answered at once must not leave one behind.
+        if self.requests.unfinished_mut(key).is_some() {
+            self.actions.insert(first_action, Action::SetTimer { at: queue_deadline, cookie: key });
+        }
     }
 
     /// Counts a request in the traffic of its group, and adds its deposits to the retry budget and the budget
@@ -75,14 +75,19 @@
     }
 
     /// Gives up a request if its final answer is due, or if its queue time has expired and it has reached no
-    /// endpoint. There is a timer for each of the two; the current time tells which one expired.
+    /// endpoint. The timer for the final answer is set only once the one for the queue time has expired; the
+    /// current time tells which of the two it is.
     pub(crate) fn request_timer_expired(&mut self, key: RequestKey) {
         let Some(request) = self.requests.unfinished_mut(key) else { return };
-        let final_timer_tolerance = FINAL_TIMER_TOLERANCE_TICKS * self.cluster.settings().tick;
-        if self.cluster.now() + final_timer_tolerance >= request.context().deadline {
+        let (now, tick) = (self.cluster.now(), self.cluster.settings().tick);
+        let deadline = request.context().deadline;
+        if now + FINAL_TIMER_TOLERANCE_TICKS * tick >= deadline {
             self.give_up(key, GiveUpReason::DeadlineReached);
         } else if request.has_reached_no_endpoint() {
             self.give_up(key, GiveUpReason::QueueTimeout);
+        } else {
+            // Guarantees a final answer just before the deadline.
+            self.actions.push(Action::SetTimer { at: (deadline - tick).max(now), cookie: key });
         }
     }
 
--- a/tests/loopback/fairness.rs
+++ b/tests/loopback/fairness.rs
@@ -32,6 +32,11 @@
     Request::new("flood", "no-such-class").message()
 }
 
+/// A short query that the policy rejects at once.
+fn query_of_unknown_group() -> Vec<u8> {
+    Request::new("flood", "reports").group(99).message()
+}
+
 /// Sends `query` at full speed until the pooler has gone, on a new connection whenever the pooler closes one.
 /// Reports for each when it has received the first responses.
 fn flood(pooler: &Pooler, query: &[u8], started: Sender<()>) {
@@ -81,6 +86,7 @@
 #[rstest]
 #[case::long_invalid_queries(long_invalid_query())]
 #[case::short_queries_of_an_unknown_class(query_of_unknown_class())]
+#[case::short_queries_of_an_unknown_group(query_of_unknown_group())]
 fn clients_that_send_at_full_speed_do_not_delay_others(#[case] query: Vec<u8>) {
     let host = DatabaseHost::new();
     let (pooler, _discovery) = start_with_one_host(&host, &[]);
