Set a part of the memory budget aside for answers and short queries

Cause: one budget for everything. Incomplete input took all of it, so that not even a short answer found room.

Change: client input of more than 2 KiB at a time must leave an eighth of the budget.

The new test in `client_limits` failed before: the other client could not connect.

--- a/src/net/buffer/memory_budget.rs
+++ b/src/net/buffer/memory_budget.rs
@@ -11,17 +11,31 @@
 #[error("buffer size limit or memory budget exceeded")]
 pub(crate) struct CapacityExceeded;
 
+/// Largest reservation for input that may use the share of the budget that is set aside (bytes).
+const MAX_SMALL_RESERVATION: usize = 2 * 1024;
+/// The share of the budget that is set aside for answers and for input that needs little: one in this many
+/// bytes. Without it, clients that stop in the middle of large messages would use up the whole budget.
+const SET_ASIDE_DIVISOR: usize = 8;
+
 /// Memory budget shared by all connections. Each buffer has a size limit of its own, but many buffers
 /// together could exceed the memory limit of the process. Clones share the same budget.
 #[derive(Clone)]
 pub(crate) struct MemoryBudget {
     available: Rc<Cell<usize>>,
+    total: usize,
+    /// Bytes that must stay available after a reservation of more than [`MAX_SMALL_RESERVATION`].
+    set_aside: usize,
 }
 
 impl MemoryBudget {
     /// Creates a budget of `bytes`.
     pub fn new(bytes: usize) -> Self {
-        MemoryBudget { available: Rc::new(Cell::new(bytes)) }
+        MemoryBudget { available: Rc::new(Cell::new(bytes)), total: bytes, set_aside: 0 }
+    }
+
+    /// Returns the same budget for the input of clients: a part of it is set aside.
+    pub fn for_input(&self) -> MemoryBudget {
+        MemoryBudget { set_aside: self.total / SET_ASIDE_DIVISOR, ..self.clone() }
     }
 
     /// Returns an empty reservation against this budget.
@@ -46,6 +60,10 @@
     pub fn resize(&mut self, bytes: usize) -> Result<(), CapacityExceeded> {
         let available_without_this = self.budget.available() + self.bytes;
         let available = available_without_this.checked_sub(bytes).ok_or(CapacityExceeded)?;
+        let is_large = bytes > self.bytes.max(MAX_SMALL_RESERVATION);
+        if is_large && available < self.budget.set_aside {
+            return Err(CapacityExceeded);
+        }
         self.budget.available.set(available);
         self.bytes = bytes;
         Ok(())
--- a/src/net/buffer/tests.rs
+++ b/src/net/buffer/tests.rs
@@ -123,3 +123,20 @@
     buffer.push(b"e").unwrap();
     assert_eq!(buffer.take(9), b"\0\0ae");
 }
+
+/// Guards against large messages that leave no memory for the answers to other clients.
+#[test]
+fn large_input_leaves_a_part_of_the_budget_to_answers_and_small_input() {
+    let budget = MemoryBudget::new(80 * 1024);
+    let input = budget.for_input();
+    let mut large = input.reservation();
+    assert_eq!(large.resize(71 * 1024), Err(CapacityExceeded));
+    large.resize(70 * 1024).unwrap();
+    assert_eq!(input.reservation().resize(3 * 1024), Err(CapacityExceeded));
+    let mut small = input.reservation();
+    small.resize(2 * 1024).unwrap();
+    let mut answer = budget.reservation();
+    answer.resize(8 * 1024).unwrap();
+    assert_eq!(budget.available(), 0);
+    small.resize(1024).expect("less is always granted");
+}
--- a/src/net/frontend/input.rs
+++ b/src/net/frontend/input.rs
@@ -40,8 +40,9 @@
 }
 
 impl Input {
-    /// Creates an empty input at `now`. Its memory counts against the budget.
+    /// Creates an empty input at `now`. Its memory counts against the budget, of which a part is set aside.
     pub(super) fn new(budget: &MemoryBudget, now: Instant) -> Input {
+        let budget = &budget.for_input();
         Input {
             buffer: RingBuffer::new(budget),
             arrival_times: ArrivalTimes::default(),
--- a/tests/loopback/client_limits.rs
+++ b/tests/loopback/client_limits.rs
@@ -191,5 +191,31 @@
     stalled.expect_error("53200");
 }
 
+/// Lengths of incomplete queries whose buffers, with those of their answers, fill half a megabyte (bytes).
+const INCOMPLETE_QUERIES: [usize; 7] = [147_000, 147_000, 147_000, 15_000, 7_500, 3_500, 1_800];
+
+/// The header of a Query message that is longer than any of these.
+const LONG_QUERY_HEADER: [u8; 5] = [b'Q', 0, 2, 0x60, 0];
+
+/// Guards against clients that stop in the middle of large queries and use up the memory: others were refused,
+/// or closed without an answer.
+#[test]
+fn clients_that_stop_in_large_queries_leave_memory_for_others() {
+    let host = DatabaseHost::new();
+    let one_megabyte = Edit { from: r#""memory_mb":192"#, to: r#""memory_mb":1"# };
+    let (pooler, _discovery) = start_with_one_host(&host, &[one_megabyte]);
+    let mut stopped = Vec::new();
+    for length in INCOMPLETE_QUERIES {
+        let mut client = connect_without_startup(&pooler);
+        let start = [startup_message(), LONG_QUERY_HEADER.to_vec(), vec![b' '; length]].concat();
+        // The pooler may close the connection instead of reading everything.
+        let _ = client.stream.write_all(&start);
+        pooler.wait_until_events_handled();
+        stopped.push(client);
+    }
+    let mut usual = connect_client(&pooler);
+    complete_read(&host, &mut usual);
+}
+
 /// Time within which a client whose input cannot be processed must get an error or be disconnected.
 const ERROR_RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
