Let the frontend write all responses in one place, and ExcessInput read its input

The lookup of a connection, the response, the write and the end of the cycle stood three times in the frontend. The loop that reads excess input is the business of ExcessInput.

--- a/src/net/frontend/excess_input.rs
+++ b/src/net/frontend/excess_input.rs
@@ -1,8 +1,16 @@
 //! The input of a client beyond what its buffer holds while a query is running. It is read all the same, since
 //! the end of the connection may be behind it, and is not kept: its queries are refused.
 
+use std::io::{self, ErrorKind, Read};
+
+use crate::net::buffer::{ReadStatus, MAX_BUFFER_SIZE};
 use crate::net::postgres::{ClientMessageKind, MessageCounter, ProtocolError};
 
+/// Size of the pieces in which the input is read (bytes).
+const PIECE_SIZE: usize = 16 * 1024;
+/// Maximum number of pieces that are read at a time: about as much as a buffer holds.
+const MAX_PIECES: usize = MAX_BUFFER_SIZE / PIECE_SIZE;
+
 /// What a client has sent beyond the limit of its buffer, as far as it concerns the client.
 #[derive(Default)]
 pub(super) struct ExcessInput {
@@ -34,6 +42,26 @@
 }
 
 impl ExcessInput {
+    /// Reads until the source would block or ends, or its share of a turn of the event loop is used up, which
+    /// is reported as [`ReadStatus::Full`].
+    pub(super) fn read_from(&mut self, source: &mut impl Read) -> io::Result<ReadStatus> {
+        let mut piece = [0; PIECE_SIZE];
+        let mut pieces = 0;
+        while pieces < MAX_PIECES {
+            match source.read(&mut piece) {
+                Ok(0) => return Ok(ReadStatus::EndOfStream),
+                Ok(length) => {
+                    self.add(&piece[..length]);
+                    pieces += 1;
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(ReadStatus::WouldBlock),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(ReadStatus::Full)
+    }
+
     /// Counts the messages in further input.
     pub(super) fn add(&mut self, mut bytes: &[u8]) {
         while self.end.is_none() {
--- a/src/net/frontend/input.rs
+++ b/src/net/frontend/input.rs
@@ -1,23 +1,16 @@
 //! The input of a client connection: bytes that are not yet processed, and when they were received.
 
-use std::io::{ErrorKind, Read};
+use std::io::Read;
 use std::time::Instant;
 
 use super::arrivals::ArrivalTimes;
 use super::error::MustClose;
 use super::excess_input::{ExcessInput, ExcessStep};
 use super::waiting_queries::WaitingQueries;
-use crate::net::buffer::{
-    CapacityExceeded, MemoryBudget, MemoryReservation, ReadStatus, RingBuffer, MAX_BUFFER_SIZE,
-};
+use crate::net::buffer::{CapacityExceeded, MemoryBudget, MemoryReservation, ReadStatus, RingBuffer};
 use crate::net::postgres::{self, ClientMessage, ProtocolError, StartupRequest};
 use crate::net::request_ids::{IdClaim, RequestIds};
 
-/// Size of the pieces in which excess input is read (bytes).
-const EXCESS_PIECE_SIZE: usize = 16 * 1024;
-/// Maximum number of such pieces that are read at a time, about as much as the buffer holds.
-const MAX_EXCESS_PIECES: usize = MAX_BUFFER_SIZE / EXCESS_PIECE_SIZE;
-
 /// Whether the source of the input has more available.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum InputStatus {
@@ -107,22 +100,13 @@
 
     fn read_excess(&mut self, source: &mut impl Read, now: Instant) -> Result<InputStatus, MustClose> {
         let Some(excess) = &mut self.excess else { return Ok(InputStatus::Drained) };
-        let mut piece = [0; EXCESS_PIECE_SIZE];
-        let mut pieces = 0;
-        while pieces < MAX_EXCESS_PIECES {
-            match source.read(&mut piece) {
-                Ok(0) => return Err(MustClose::ClientDisconnected),
-                Ok(length) => {
-                    excess.add(&piece[..length]);
-                    self.last_received_at = now;
-                    pieces += 1;
-                }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(InputStatus::Drained),
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) => return Err(error.into()),
-            }
+        let status = excess.read_from(source)?;
+        self.last_received_at = now;
+        match status {
+            ReadStatus::WouldBlock => Ok(InputStatus::Drained),
+            ReadStatus::Full => Ok(InputStatus::MoreToRead),
+            ReadStatus::EndOfStream => Err(MustClose::ClientDisconnected),
         }
-        Ok(InputStatus::MoreToRead)
     }
 
     /// Stops keeping input, because the buffer is full while a query is running: the messages behind the
--- a/src/net/frontend/input/tests.rs
+++ b/src/net/frontend/input/tests.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use super::*;
+use crate::net::buffer::MAX_BUFFER_SIZE;
 use crate::net::request_ids::RequestIds;
 
 const MEMORY: usize = 1_000_000;
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -39,7 +39,7 @@
 mod waiting_queries;
 
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use mio::net::TcpListener;
 
@@ -164,14 +164,24 @@
 
     /// Sends the final response to the running query of a connection. Does nothing if no query is running.
     pub fn respond(&mut self, id: ConnectionId, response: Response, context: &mut Context) {
-        let Some(connection) = self.connections.get_mut(id) else { return };
-        if connection.session().phase() != Phase::Busy {
+        let is_busy = |connection: &mut ClientConnection| connection.session().phase() == Phase::Busy;
+        if !self.connections.get_mut(id).is_some_and(is_busy) {
             return;
         }
         count_response(&response, &mut context.counters);
-        let result = connection
-            .add_response(response, context.reactor.now())
-            .and_then(|()| connection.write_response(id, context));
+        self.write(id, context, |connection, now| connection.add_response(response, now));
+    }
+
+    /// Lets `add` append a response to the output of a connection, and writes it.
+    fn write(
+        &mut self,
+        id: ConnectionId,
+        context: &mut Context,
+        add: impl FnOnce(&mut ClientConnection, Instant) -> Result<(), MustClose>,
+    ) {
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        let result =
+            add(connection, context.reactor.now()).and_then(|()| connection.write_response(id, context));
         self.finish_cycle(id, result, context);
     }
 
@@ -187,38 +197,22 @@
         }
         self.service.set_ready();
         for id in self.connections.find_all(|session| session.phase() == Phase::AwaitingEndpoints) {
-            self.respond_to_empty_query(id, context);
+            self.write(id, context, ClientConnection::add_response_to_waiting_empty_query);
         }
     }
 
-    fn respond_to_empty_query(&mut self, id: ConnectionId, context: &mut Context) {
-        let Some(connection) = self.connections.get_mut(id) else { return };
-        let result = connection
-            .add_response_to_waiting_empty_query(context.reactor.now())
-            .and_then(|()| connection.write_response(id, context));
-        self.finish_cycle(id, result, context);
-    }
-
     /// Starts to drain the connections: each is closed once all its queries are answered, and further queries
     /// are rejected as [`Drain::rejects`] decides.
     pub fn start_draining(&mut self, drain: Drain, context: &mut Context) {
         self.service.start_draining(drain);
         for id in self.connections.find_all(Session::has_blocking_empty_query) {
-            self.reject_waiting_empty_query(id, drain, context);
+            self.write(id, context, |connection, _| connection.reject_waiting_empty_query(drain));
         }
         for id in self.connections.ids() {
             self.run_cycle(id, context);
         }
     }
 
-    fn reject_waiting_empty_query(&mut self, id: ConnectionId, drain: Drain, context: &mut Context) {
-        let Some(connection) = self.connections.get_mut(id) else { return };
-        let result = connection
-            .reject_waiting_empty_query(drain)
-            .and_then(|()| connection.write_response(id, context));
-        self.finish_cycle(id, result, context);
-    }
-
     /// Returns the clients whose running query is a blocking request, that is, a query with unread input
     /// behind it. The input need not be a complete query.
     pub fn clients_with_blocking_requests(&self) -> Vec<ConnectionId> {
--- a/src/net/pooler/active_requests/mod.rs
+++ b/src/net/pooler/active_requests/mod.rs
@@ -67,12 +67,6 @@
 }
 
 impl ActiveRequests {
-    /// Returns `true` if a request with this ID is in progress.
-    #[cfg(test)]
-    pub fn contains(&self, id: &str) -> bool {
-        self.requests.contains_key(id)
-    }
-
     /// Adds a request that `client` waits for.
     pub fn insert(
         &mut self,
--- a/src/net/pooler/active_requests/tests.rs
+++ b/src/net/pooler/active_requests/tests.rs
@@ -35,7 +35,7 @@
 fn an_unknown_request_has_no_attempts_and_no_client() {
     let [client] = connections();
     let mut table = ActiveRequests::default();
-    assert!(!table.contains(ID));
+    assert!(!table.requests.contains_key(ID));
     assert!(table.start_attempt(ID.into()).is_none());
     assert_eq!(table.record_attempt_finished(ID, 0), None);
     assert_eq!(table.connection_of_attempt(ID, 0), None);
@@ -43,7 +43,7 @@
     assert_eq!(table.take_client(ID), None);
     table.record_attempt_sent(ID, 0, Some(client));
     table.remove_if_finished(ID);
-    assert!(!table.contains(ID));
+    assert!(!table.requests.contains_key(ID));
 }
 
 #[test]
@@ -78,10 +78,10 @@
     assert_eq!(table.connection_of_attempt(ID, number), None);
     assert_eq!(table.take_client(ID), Some(client));
     table.remove_if_finished(ID);
-    assert!(table.contains(ID));
+    assert!(table.requests.contains_key(ID));
     assert_eq!(table.record_attempt_finished(ID, 0), Some(ClientState::NotWaiting));
     table.remove_if_finished(ID);
-    assert!(!table.contains(ID));
+    assert!(!table.requests.contains_key(ID));
 }
 
 #[test]
@@ -89,11 +89,11 @@
     let [client] = connections();
     let mut table = table_with_request(client);
     table.remove_if_finished(ID);
-    assert!(table.contains(ID));
+    assert!(table.requests.contains_key(ID));
     assert_eq!(table.take_client(ID), Some(client));
     assert_eq!(table.take_client(ID), None, "a request has only one final response");
     table.remove_if_finished(ID);
-    assert!(!table.contains(ID));
+    assert!(!table.requests.contains_key(ID));
 }
 
 #[test]
@@ -115,10 +115,10 @@
     assert_eq!(table.abandon(client), None);
     assert_eq!(table.take_client(ID), None, "no client waits for a response");
     table.remove_if_finished(ID);
-    assert!(table.contains(ID), "its attempt is in flight");
+    assert!(table.requests.contains_key(ID), "its attempt is in flight");
     assert_eq!(table.record_attempt_finished(ID, 0), Some(ClientState::NotWaiting));
     table.remove_if_finished(ID);
-    assert!(!table.contains(ID));
+    assert!(!table.requests.contains_key(ID));
 }
 
 #[test]
@@ -148,7 +148,7 @@
     assert_eq!(table.connections(ID), [first_connection], "the first attempt is still in flight");
     assert_eq!(table.record_attempt_finished(ID, first), Some(ClientState::NotWaiting));
     table.remove_if_finished(ID);
-    assert!(!table.contains(ID));
+    assert!(!table.requests.contains_key(ID));
 }
 
 #[test]
