Set a timer for the deadline that follows a missed one

Cause: the expired timer was forgotten only if the deadline had moved, so that the next deadline relied on it.

Change: it is forgotten in each case.

--- a/src/net/frontend/connection.rs
+++ b/src/net/frontend/connection.rs
@@ -290,8 +290,8 @@
     }
 
     /// Sets the next timer after one has expired, unless the deadline has passed.
-    pub(super) fn continue_deadline(&mut self, id: ConnectionId, context: &mut Context) {
-        if let Some(expires_at) = self.deadline.timer_expired(context.reactor.now()) {
+    pub(super) fn continue_deadline(&mut self, id: ConnectionId, now: Instant, context: &mut Context) {
+        if let Some(expires_at) = self.deadline.timer_expired(now) {
             context.reactor.set_timer(expires_at, TimerEvent::Client(id));
         }
     }
--- a/src/net/frontend/deadline.rs
+++ b/src/net/frontend/deadline.rs
@@ -74,12 +74,15 @@
         self.next_timer()
     }
 
-    /// Records that a timer has expired. Returns when the next one must expire that the caller must set: the
-    /// deadline may have moved since.
+    /// Records that a timer has expired. Returns when the next one must expire that the caller must set, if the
+    /// deadline has moved since; `None` if it has passed.
     pub(super) fn timer_expired(&mut self, now: Instant) -> Option<Instant> {
         if self.timer_at.is_some_and(|at| at <= now) {
             self.timer_at = None;
         }
+        if self.has_expired(now) {
+            return None;
+        }
         self.next_timer()
     }
 
--- a/src/net/frontend/deadline/tests.rs
+++ b/src/net/frontend/deadline/tests.rs
@@ -47,6 +47,18 @@
     assert_eq!(deadline.timer_expired(now + CLIENT_SEND_TIMEOUT), None, "no action is expected");
 }
 
+/// Guards against keeping a client forever that has missed one deadline and then misses the next.
+#[test]
+fn the_deadline_after_a_missed_one_has_a_timer() {
+    let now = Instant::now();
+    let missed_at = now + CLIENT_SEND_TIMEOUT;
+    let mut deadline = ClientDeadline::new(CLIENT_READ_TIMEOUT);
+    deadline.update(Some(ExpectedAction::Send), now);
+    assert_eq!(deadline.timer_expired(missed_at), None);
+    assert!(deadline.has_expired(missed_at));
+    assert_eq!(deadline.update(Some(ExpectedAction::Close), missed_at), Some(missed_at + LINGER_TIMEOUT));
+}
+
 #[test]
 fn an_earlier_deadline_has_a_timer_of_its_own() {
     let now = Instant::now();
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -135,8 +135,9 @@
         }
         let Some(connection) = self.connections.get_mut(id) else { return };
         // Timers are not cancelled, so this one may belong to an earlier deadline.
+        connection.continue_deadline(id, now, context);
         if !connection.has_missed_deadline(now) {
-            return connection.continue_deadline(id, context);
+            return;
         }
         let result = connection
             .handle_missed_deadline(id, context)
