Log which call for the endpoint list was answered, and why each one ended

The log named the opening of a call and failures, but not which call failed, and nothing where one call was closed in favor of another.

Each line now carries the number of the watch, and there is a line for the answer and for each end.

The test of the log lines fails without the new lines.

--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -79,7 +79,6 @@
     }
 
     fn try_open_watch(&mut self, context: &mut Context) -> Result<(), WatchError> {
-        tracing::info!(address = %self.address, since = self.list_version, "endpoint list requested");
         let stream = TcpStream::connect(self.address).map_err(|_| WatchError::ConnectFailed)?;
         let now = context.reactor.now();
         let list_timeout = match self.last_error {
@@ -91,6 +90,7 @@
         let deadline = watch.deadline();
         let id = self.watches.insert(watch);
         self.open_watches.push(id);
+        tracing::info!(watch = %id, address = %self.address, since = self.list_version, "endpoint list requested");
         context.reactor.set_timer(deadline, TimerEvent::Discovery(id));
         let registered = self.watches.get_mut(id).map(|watch| watch.register(id, &mut context.reactor));
         if !matches!(registered, Some(Ok(()))) {
@@ -107,12 +107,14 @@
 
     fn close_latest(&mut self) {
         if let Some(latest) = self.open_watches.pop() {
+            tracing::info!(watch = %latest, "endpoint watch closed: replaced by the next");
             self.watches.remove(latest);
         }
     }
 
     fn close_all(&mut self) {
         for id in std::mem::take(&mut self.open_watches) {
+            tracing::info!(watch = %id, "endpoint watch closed: all are closed");
             self.watches.remove(id);
         }
     }
@@ -121,12 +123,14 @@
     fn keep_only(&mut self, answered: ConnectionId) {
         for id in std::mem::replace(&mut self.open_watches, vec![answered]) {
             if id != answered {
+                tracing::info!(watch = %id, "endpoint watch closed: another is answered");
                 self.watches.remove(id);
             }
         }
     }
 
     fn fail(&mut self, id: ConnectionId, error: WatchError, context: &mut Context) {
+        tracing::info!(watch = %id, %error, "endpoint watch closed");
         self.close(id);
         self.report_failure(error, context);
     }
@@ -162,6 +166,7 @@
         let was_answered = watch.has_response_head();
         let io_result = watch.run_cycle(context.reactor.now(), &mut messages);
         if !was_answered && watch.has_response_head() {
+            tracing::info!(watch = %id, "endpoint watch answered");
             self.keep_only(id);
             context.events.push_back(Event::WatchAnswered);
         }
--- a/tests/loopback/log_lines.rs
+++ b/tests/loopback/log_lines.rs
@@ -36,9 +36,15 @@
     assert!(call.contains("since=41"), "{call}");
     let mut watch = discovery.accept();
     watch.send_list(&EndpointList::update(42, [host.entry("s-1", "here").with_status("DRAINING")]));
+    let answered = pooler.wait_for_log("endpoint watch answered");
+    let number = call.split_whitespace().find(|field| field.starts_with("watch=")).unwrap();
+    assert!(answered.ends_with(number) || answered.contains(&format!("{number} ")), "{answered}");
     let list = pooler.wait_for_log("endpoint list received");
     assert!(list.contains("version=42 snapshot=false entries=1"), "{list}");
     assert!(list.contains(r#"("s-1", Draining)"#), "{list}");
     let closed = pooler.wait_for_log("endpoint connection closed");
     assert!(closed.contains("endpoint=s-1") && closed.contains("reason=endpoint changed"), "{closed}");
+    drop(watch);
+    let closed = pooler.wait_for_log("endpoint watch closed");
+    assert!(closed.contains(number) && closed.contains("response ended"), "{closed}");
 }
