Leave a late call for the endpoint list open beside the next one

Cause: a call that is late was taken for one that is lost, so that each time limit that closed a call was also the longest answer that could ever be heard.

A late watch is now reported and stays open. The first one that delivers a message replaces those before it. Unanswered watches are limited to a share of the file descriptors, by closing those whose neighbors were opened shortly before and after. A list that is older than one that another watch has delivered since is discarded. All time limits are in one module, with the promise that they keep.

--- a/src/net/discovery/error.rs
+++ b/src/net/discovery/error.rs
@@ -33,6 +33,9 @@
     /// A list exceeds the maximum length or nesting depth.
     #[error("endpoint list too long or nested too deeply")]
     ListTooLarge,
+    /// A list is older than one that another watch has delivered meanwhile.
+    #[error("endpoint list is outdated")]
+    Outdated,
     /// A list, or one of its entries, cannot be decoded.
     #[error("cannot decode endpoint list")]
     InvalidList,
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -10,24 +10,12 @@
 use super::error::WatchError;
 use super::http_response::ResponseParser;
 use super::list_splitter::{ListSplitter, WatchMessage};
+use super::time_limits::{CLOSE_LIMIT, IDLE_LIMIT, LIST_LIMIT, OVERDUE_CHECK_INTERVAL, RESPONSE_HEAD_LIMIT};
 use crate::net::buffer::{CapacityExceeded, MemoryBudget, ReadStatus, RingBuffer};
 use crate::net::reactor::{ConnectionId, EventSource, Reactor, Resumption};
 
 const PATH: &str = "/catalog/members";
 
-// A change of the endpoint list must reach the pooler within 6 s, even if the current watch has stalled.
-// These timeouts leave time within that limit to open another watch. While no response head comes, the policy
-// opens another watch much earlier.
-
-/// A watch on which nothing is received for this time is closed. Heartbeats are expected every 2 s.
-const IDLE_TIMEOUT: Duration = Duration::from_millis(2800);
-/// A watch without a response head after this time is closed. The service may be slow.
-const RESPONSE_HEAD_TIMEOUT: Duration = Duration::from_millis(2500);
-/// A watch is closed if a list that has begun is not complete after this time.
-pub(super) const LIST_TIMEOUT: Duration = Duration::from_millis(2800);
-/// As [`LIST_TIMEOUT`], for a watch that follows a failed one, since the service may be slow.
-pub(super) const LIST_TIMEOUT_AFTER_FAILURE: Duration = Duration::from_secs(7);
-
 /// Whether a cycle has read all input.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum CycleStatus {
@@ -44,22 +32,27 @@
     output: RingBuffer,
     response: ResponseParser,
     splitter: ListSplitter,
-    /// When data was last received, or the watch was opened.
+    /// The version of the list when the watch was opened.
+    requested_version: u64,
+    opened_at: Instant,
+    /// When the response head was received.
+    answered_at: Option<Instant>,
+    /// When data of the response was last received, or the watch was opened.
     last_received_at: Instant,
     /// When the current, incomplete list began.
     list_started_at: Option<Instant>,
-    /// Time limit for a list that has begun.
-    list_timeout: Duration,
+    /// Whether the response, or its next message, is late.
+    is_overdue: bool,
     /// Scheduled if no event will announce the remaining input.
     next_cycle: Resumption,
 }
 
 impl WatchConnection {
-    /// Creates a watch whose request has not been sent yet.
+    /// Creates a watch of the changes since version `requested_version`. Its request is not sent yet.
     pub fn new(
         stream: TcpStream,
         budget: &MemoryBudget,
-        list_timeout: Duration,
+        requested_version: u64,
         now: Instant,
     ) -> WatchConnection {
         WatchConnection {
@@ -68,9 +61,12 @@
             output: RingBuffer::new(budget),
             response: ResponseParser::new(),
             splitter: ListSplitter::default(),
+            requested_version,
+            opened_at: now,
+            answered_at: None,
             last_received_at: now,
             list_started_at: None,
-            list_timeout,
+            is_overdue: false,
             next_cycle: Resumption::default(),
         }
     }
@@ -97,32 +93,89 @@
         self.next_cycle.take()
     }
 
+    /// Returns the version of the list whose changes it requests.
+    pub fn requested_version(&self) -> u64 {
+        self.requested_version
+    }
+
+    /// Returns when the watch was opened.
+    pub fn opened_at(&self) -> Instant {
+        self.opened_at
+    }
+
+    /// Returns when data of the response was last received, or when the watch was opened.
+    pub fn last_received_at(&self) -> Instant {
+        self.last_received_at
+    }
+
     /// Returns `true` if the service has begun to answer: the response head is complete and valid.
-    pub fn has_response_head(&self) -> bool {
-        self.response.has_head()
+    pub fn is_answered(&self) -> bool {
+        self.answered_at.is_some()
     }
 
-    /// Adds the request for all changes since version `list_version` to the output buffer.
-    pub fn request_changes(&mut self, list_version: u64, host: SocketAddr) -> Result<(), CapacityExceeded> {
-        let request = format!(
-            "GET {PATH}?follow=1&since={list_version} HTTP/1.1\r\nHost: {host}\r\n\
-            Accept: application/json\r\n\r\n"
-        );
-        self.output.push(request.as_bytes())
+    /// Returns how long the service took to begin its answer, or `None` if it has not.
+    pub fn answer_time(&self) -> Option<Duration> {
+        self.answered_at.map(|answered_at| answered_at - self.opened_at)
+    }
+
+    /// Returns `true` if the response, or its next message, was late and is still missing.
+    pub fn is_overdue(&self) -> bool {
+        self.is_overdue
+    }
+
+    /// Records that a message was received and accepted, so that the watch is not overdue any more.
+    pub fn record_message(&mut self) {
+        self.is_overdue = false;
     }
 
-    /// Returns when the watch must be closed unless more data is received before.
-    pub fn deadline(&self) -> Instant {
-        if !self.response.has_head() {
-            return self.last_received_at + RESPONSE_HEAD_TIMEOUT;
+    /// Records that the watch is overdue if that is so. Returns `true` if it was not before.
+    pub fn check_overdue(&mut self, now: Instant) -> bool {
+        let has_become_overdue = !self.is_overdue && now >= self.overdue_at();
+        self.is_overdue |= has_become_overdue;
+        has_become_overdue
+    }
+
+    /// Returns `true` if the watch has to be closed. An unanswered one may stay open: it may still be waiting
+    /// for its turn at the service.
+    pub fn is_expired(&self, now: Instant) -> bool {
+        self.is_answered() && now >= self.time_of(CLOSE_LIMIT, CLOSE_LIMIT)
+    }
+
+    /// Returns when the watch has to be checked next.
+    pub fn next_check_at(&self, now: Instant) -> Instant {
+        if self.is_overdue {
+            now + OVERDUE_CHECK_INTERVAL
+        } else {
+            self.overdue_at()
         }
-        let idle_deadline = self.last_received_at + IDLE_TIMEOUT;
-        match self.list_started_at {
-            Some(started_at) => idle_deadline.min(started_at + self.list_timeout),
-            None => idle_deadline,
+    }
+
+    /// Returns when the watch becomes overdue unless more is received before.
+    fn overdue_at(&self) -> Instant {
+        match self.is_answered() {
+            true => self.time_of(IDLE_LIMIT, LIST_LIMIT),
+            false => self.opened_at + RESPONSE_HEAD_LIMIT,
         }
     }
 
+    /// Returns when nothing has been received for `idle_limit`, or a list has been incomplete for
+    /// `list_limit`.
+    fn time_of(&self, idle_limit: Duration, list_limit: Duration) -> Instant {
+        let idle_until = self.last_received_at + idle_limit;
+        let list_limit_at = self.list_started_at.map(|started_at| started_at + list_limit);
+        list_limit_at.map_or(idle_until, |at| at.min(idle_until))
+    }
+
+    /// Adds the request, for all changes since the requested version, to the output buffer.
+    pub fn request_changes(&mut self, host: SocketAddr) -> Result<(), CapacityExceeded> {
+        let request = format!(
+            "GET {PATH}?follow=1&since={} HTTP/1.1\r\nHost: {host}\r\n\
+            Accept: application/json\r\n\r\n",
+            self.requested_version
+        );
+        self.output.push(request.as_bytes())
+    }
+
     /// Reads at most one buffer and writes until the socket would block. Appends the received messages to
     /// `messages`, even if an error follows them.
     pub fn run_cycle(
@@ -135,6 +188,10 @@
         if self.response.has_head() && self.input.total_received() > received_before {
             self.last_received_at = now;
         }
+        if self.response.has_head() && !self.is_answered() {
+            self.answered_at = Some(now);
+            self.is_overdue = false;
+        }
         if !self.splitter.is_inside_list() {
             self.list_started_at = None;
         } else if self.list_started_at.is_none() || !messages.is_empty() {
--- a/src/net/pooler/startup.rs
+++ b/src/net/pooler/startup.rs
@@ -16,7 +16,7 @@
 use crate::interface::UpdateKind;
 use crate::net::backend::Backend;
 use crate::net::buffer::MemoryBudget;
-use crate::net::discovery::DiscoveryClient;
+use crate::net::discovery::{DiscoveryClient, MAX_ANSWERED_WATCHES};
 use crate::net::frontend::Frontend;
 use crate::net::reactor::{self, duration_of, EventSource, Reactor};
 use crate::net::shutdown::GracefulShutdown;
@@ -26,11 +26,17 @@
 use crate::transient_error::{is_transient, retry};
 use crate::Policy;
 
-/// File descriptors not available to connections: used for the listener, the poll instance, signals, standard
-/// error, the endpoint list watch and anything that the process opens temporarily.
-const RESERVED_DESCRIPTORS: usize = 16;
+/// File descriptors used for standard streams, the listener, the poll instance, signals, answered watches of
+/// the endpoint list and anything that the process opens temporarily.
+const PROCESS_DESCRIPTORS: usize = 9 + MAX_ANSWERED_WATCHES;
+/// Fewest file descriptors that are not available to connections of clients and to endpoints.
+const MIN_RESERVED_DESCRIPTORS: usize = 16;
 /// The reserved file descriptors, and one each for a client and an endpoint.
-const MIN_DESCRIPTORS: usize = RESERVED_DESCRIPTORS + 2;
+const MIN_DESCRIPTORS: usize = MIN_RESERVED_DESCRIPTORS + 2;
+/// The share of the file descriptors that unanswered watches may use is one over this number.
+const UNANSWERED_WATCHES_DIVISOR: usize = 8;
+/// Most unanswered watches, however many file descriptors there are.
+const MAX_UNANSWERED_WATCHES: usize = 48;
 
 /// Why the pooler failed to start or had to stop.
 #[derive(Debug, thiserror::Error)]
@@ -40,7 +46,7 @@
     InvalidSettings(#[from] SettingsError),
     /// The configured limit on file descriptors is below [`MIN_DESCRIPTORS`].
     #[error(
-        "'limits.sockets' must be at least {MIN_DESCRIPTORS}: {RESERVED_DESCRIPTORS} file descriptors are \
+        "'limits.sockets' must be at least {MIN_DESCRIPTORS}: {MIN_RESERVED_DESCRIPTORS} file descriptors are \
          reserved, and clients and endpoints need at least one each"
     )]
     TooFewSockets,
@@ -56,10 +62,11 @@
     }
 }
 
-/// Maximum number of client and backend connections.
+/// Maximum number of connections of each kind.
 struct ConnectionLimits {
     clients: usize,
     backend: usize,
+    unanswered_watches: usize,
 }
 
 impl ConnectionLimits {
@@ -67,12 +74,15 @@
     /// usually has one attempt in flight. Hedged requests and health checks share the backend's half; once it
     /// is used up, attempts end as [`NotSent`](crate::interface::Outcome::NotSent).
     fn new(descriptors: usize) -> Result<ConnectionLimits, ServeError> {
-        let sockets = descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+        let min_watches = MIN_RESERVED_DESCRIPTORS - PROCESS_DESCRIPTORS;
+        let unanswered_watches =
+            (descriptors / UNANSWERED_WATCHES_DIVISOR).clamp(min_watches, MAX_UNANSWERED_WATCHES);
+        let sockets = descriptors.saturating_sub(PROCESS_DESCRIPTORS + unanswered_watches);
         let clients = sockets / 2;
         if clients == 0 {
             return Err(ServeError::TooFewSockets);
         }
-        Ok(ConnectionLimits { clients, backend: sockets - clients })
+        Ok(ConnectionLimits { clients, backend: sockets - clients, unanswered_watches })
     }
 }
 
@@ -124,7 +134,12 @@
             policy,
             frontend,
             backend: Backend::new(limits.backend, budget.clone(), keepalive, connect_timeout),
-            discovery: DiscoveryClient::new(config.discovery, config.cached_list.version, budget),
+            discovery: DiscoveryClient::new(
+                config.discovery,
+                config.cached_list.version,
+                limits.unanswered_watches,
+                budget,
+            ),
             signals,
             requests: ActiveRequests::default(),
             query_translator: QueryTranslator::new(config),
--- a/src/net/reactor/connection_table.rs
+++ b/src/net/reactor/connection_table.rs
@@ -57,6 +57,12 @@
     }
 
     /// Returns the connection with this ID, or `None` if it was removed.
+    pub fn get(&self, id: ConnectionId) -> Option<&T> {
+        let entry = self.entries.get(id.index as usize)?;
+        (entry.generation == id.generation).then_some(&entry.connection)
+    }
+
+    /// Returns the connection with this ID for changes, or `None` if it was removed.
     pub fn get_mut(&mut self, id: ConnectionId) -> Option<&mut T> {
         let entry = self.entries.get_mut(id.index as usize)?;
         (entry.generation == id.generation).then_some(&mut entry.connection)
--- a/tests/loopback/harness/pooler.rs
+++ b/tests/loopback/harness/pooler.rs
@@ -6,6 +6,7 @@
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant};
 
 use super::configuration::{configuration, Edit};
 use super::{DiscoveryService, EndpointList, EVENT_TIMEOUT};
@@ -138,6 +139,18 @@
         }
     }
 
+    /// Waits for a log line that contains `text`. Earlier lines are skipped. Returns how long it took, or
+    /// `None` if the line was not logged within `limit`.
+    pub fn time_until_logged(&self, text: &str, limit: Duration) -> Option<Duration> {
+        let started_at = Instant::now();
+        loop {
+            let line = self.log.recv_timeout(limit.checked_sub(started_at.elapsed())?).ok()?;
+            if line.contains(text) {
+                return Some(started_at.elapsed());
+            }
+        }
+    }
+
     /// Replaces all occurrences of `from` in the configuration file, if any, and signals the pooler to reload
     /// it.
     pub fn reload_with_replacement(&self, from: &str, to: &str) {
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -23,5 +23,6 @@
 mod request_ids;
 mod routing;
 mod shutdown_and_reload;
+mod slow_discovery;
 mod slow_start;
 mod soak;
