Apply a list whose connection was reset behind it

Discovery writes a drain and its connection is reset. If both were there before the pooler read, the drain was lost: the check whether the connection is established failed after the reset, and the error of a second read discarded what the first had read. Until discovery could be called again, reads went to the draining host, which counts as told once the drain is written.

A connection counts as established from then on, and what was received is parsed before the error counts.

The new test suspends the pooler until the list and the reset are there.

--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -35,6 +35,8 @@
     /// The version of the list when the watch was opened.
     requested_version: u64,
     opened_at: Instant,
+    /// Whether the connection has been established.
+    is_connected: bool,
     /// When the response head was received.
     answered_at: Option<Instant>,
     /// When data of the response was last received, or the watch was opened.
@@ -63,6 +65,7 @@
             splitter: ListSplitter::default(),
             requested_version,
             opened_at: now,
+            is_connected: false,
             answered_at: None,
             last_received_at: now,
             list_started_at: None,
@@ -201,18 +204,16 @@
     }
 
     fn transfer(&mut self, messages: &mut Vec<WatchMessage>) -> Result<CycleStatus, WatchError> {
-        if self.stream.peer_addr().is_err() {
-            return match self.stream.take_error() {
-                // The connection is still being established.
-                Ok(None) => Ok(CycleStatus::Complete),
-                _ => Err(WatchError::ConnectFailed),
-            };
+        if !self.check_connected()? {
+            return Ok(CycleStatus::Complete);
         }
-        self.output.write_to(&mut self.stream).map_err(|_| WatchError::ConnectionLost)?;
-        let status = self.input.read_from(&mut self.stream).map_err(|_| WatchError::ConnectionLost)?;
+        let written = self.output.write_to(&mut self.stream);
+        // Data received before a reset is still processed.
+        let read = self.input.read_from(&mut self.stream);
         let length_before = self.input.len();
         self.parse_input(messages)?;
-        match status {
+        written.map_err(|_| WatchError::ConnectionLost)?;
+        match read.map_err(|_| WatchError::ConnectionLost)? {
             ReadStatus::EndOfStream => Err(WatchError::Ended),
             ReadStatus::WouldBlock => Ok(CycleStatus::Complete),
             ReadStatus::Full if self.input.len() == length_before => Err(WatchError::ResponseTooLong),
@@ -220,6 +221,18 @@
         }
     }
 
+    /// Returns `true` if the connection has been established. One that was reset afterwards counts as well.
+    fn check_connected(&mut self) -> Result<bool, WatchError> {
+        if !self.is_connected && self.stream.peer_addr().is_err() {
+            return match self.stream.take_error() {
+                Ok(None) => Ok(false),
+                _ => Err(WatchError::ConnectFailed),
+            };
+        }
+        self.is_connected = true;
+        Ok(true)
+    }
+
     fn parse_input(&mut self, messages: &mut Vec<WatchMessage>) -> Result<(), WatchError> {
         while let Some(data) = self.response.next_data(&mut self.input)? {
             self.splitter.push(&data, messages)?;
--- a/tests/loopback/discovery.rs
+++ b/tests/loopback/discovery.rs
@@ -44,6 +44,26 @@
     discovery.accept().expect_since(43);
 }
 
+/// Guards against discarding a list together with the connection that was reset behind it. The pooler is
+/// suspended, so that both are there before it reads.
+#[cfg(target_os = "linux")]
+#[test]
+fn a_list_that_is_followed_by_a_reset_is_applied() {
+    let host = DatabaseHost::new();
+    let (pooler, discovery) = start_with_one_host(&host, &[]);
+    let mut idle = complete_read(&host, &mut connect_client(&pooler));
+    let mut watch = discovery.accept();
+    watch.send_list(&EndpointList::update(41, []));
+    pooler.wait_for_log("endpoint list received");
+    pooler.suspend_while_idle();
+    watch.send(&line_chunk(draining_update(&host)));
+    socket2::SockRef::from(&watch.stream).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(watch);
+    pooler.signal(Signal::Continue);
+    idle.expect_closed();
+    discovery.accept().expect_since(42);
+}
+
 /// Drains the host on the next watch, and asserts that the pooler applies this within [`REOPEN_LIMIT`].
 fn expect_drain_in_time(
     discovery: &DiscoveryService,
