Name the rejections of queries, and when input that is not kept is read

The code and the text of the rejection at the shutdown stood twice, those of the others where they were used; a bool told whether excess input may be read before its refusals are sent. Both are types now. No change of behaviour; the unit tests of the frontend pass, their calls name the new type.

--- a/src/net/frontend/input.rs
+++ b/src/net/frontend/input.rs
@@ -22,6 +22,16 @@
     Full,
 }
 
+/// Whether input that is not kept may be read before the queries in it are refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum InputPrecedence {
+    /// It is read at once, so that the end of the connection is seen: a query is running.
+    First,
+    /// It is read once all refusals that are due are sent, so that no more is read than the client reads
+    /// responses.
+    AfterRefusals,
+}
+
 /// The input buffer and the arrival times of its content.
 pub(super) struct Input {
     buffer: RingBuffer,
@@ -67,18 +77,17 @@
     }
 
     /// Reads the available input, at most one buffer, and records `now` as its time of arrival. Once input was
-    /// not kept, further input is read while a query is running (`is_blocked`) or all queries before it are
-    /// answered, so that no more is read than the client reads responses. Fails if the source has ended.
+    /// not kept, `precedence` says when further input is read. Fails if the source has ended.
     pub(super) fn read_from(
         &mut self,
         source: &mut impl Read,
-        is_blocked: bool,
+        precedence: InputPrecedence,
         now: Instant,
     ) -> Result<InputStatus, MustClose> {
         if self.excess.is_none() {
             return self.read_into_buffer(source, now);
         }
-        if is_blocked || !self.has_unanswered_excess() {
+        if precedence == InputPrecedence::First || !self.has_unanswered_excess() {
             return self.read_excess(source, now);
         }
         Ok(InputStatus::Full)
--- a/src/net/frontend/input/tests.rs
+++ b/src/net/frontend/input/tests.rs
@@ -32,9 +32,9 @@
     let start = Instant::now();
     let (first, second) = (start + Duration::from_secs(1), start + Duration::from_secs(2));
     let mut input = input(start);
-    input.read_from(&mut Source(&SYNC[..3]), false, first).unwrap();
+    input.read_from(&mut Source(&SYNC[..3]), InputPrecedence::AfterRefusals, first).unwrap();
     assert!(input.take_message().unwrap().is_none());
-    input.read_from(&mut Source(&SYNC[3..]), false, second).unwrap();
+    input.read_from(&mut Source(&SYNC[3..]), InputPrecedence::AfterRefusals, second).unwrap();
     assert!(input.take_message().unwrap().is_some());
     assert_eq!(input.message_received_at(), second);
     assert!(input.is_empty());
@@ -46,8 +46,8 @@
     let (first, second) = (start + Duration::from_secs(1), start + Duration::from_secs(2));
     let mut input = input(start);
     assert_eq!(input.last_received_at(), start);
-    input.read_from(&mut Source(SYNC), false, first).unwrap();
-    input.read_from(&mut Source(b""), false, second).unwrap();
+    input.read_from(&mut Source(SYNC), InputPrecedence::AfterRefusals, first).unwrap();
+    input.read_from(&mut Source(b""), InputPrecedence::AfterRefusals, second).unwrap();
     assert_eq!(input.last_received_at(), first);
 }
 
@@ -71,7 +71,7 @@
 #[test]
 fn the_end_of_the_source_closes_the_connection() {
     let now = Instant::now();
-    assert!(input(now).read_from(&mut Cursor::new(SYNC), false, now).is_err());
+    assert!(input(now).read_from(&mut Cursor::new(SYNC), InputPrecedence::AfterRefusals, now).is_err());
     assert!(input(now).discard_from(&mut Cursor::new(SYNC)).is_err());
 }
 
@@ -84,10 +84,10 @@
     let messages = EMPTY_QUERY.repeat(MAX_BUFFER_SIZE / EMPTY_QUERY.len() + 300);
     assert_ne!(MAX_BUFFER_SIZE % EMPTY_QUERY.len(), 0);
     let mut source = Source(&messages);
-    assert_eq!(input.read_from(&mut source, true, now).unwrap(), InputStatus::Full);
+    assert_eq!(input.read_from(&mut source, InputPrecedence::First, now).unwrap(), InputStatus::Full);
     input.claim_waiting_ids(&RequestIds::default());
     input.refuse_excess();
-    assert_eq!(input.read_from(&mut source, true, now).unwrap(), InputStatus::Drained);
+    assert_eq!(input.read_from(&mut source, InputPrecedence::First, now).unwrap(), InputStatus::Drained);
     assert_eq!(input.next_excess_step(), Ok(ExcessStep::Wait), "the messages in the buffer come first");
     while input.take_message().unwrap().is_some() {}
     for _ in 0..300 {
@@ -97,7 +97,10 @@
     assert!(input.is_empty());
     // Later input is kept again, with its own time of arrival.
     let later = now + Duration::from_secs(1);
-    assert_eq!(input.read_from(&mut Source(SYNC), false, later).unwrap(), InputStatus::Drained);
+    assert_eq!(
+        input.read_from(&mut Source(SYNC), InputPrecedence::AfterRefusals, later).unwrap(),
+        InputStatus::Drained
+    );
     assert!(input.take_message().unwrap().is_some());
     assert_eq!(input.message_received_at(), later);
 }
@@ -109,8 +112,8 @@
     let mut input = input(now);
     input.refuse_excess();
     let mut source = Source(SYNC);
-    assert_eq!(input.read_from(&mut source, true, now).unwrap(), InputStatus::Drained);
+    assert_eq!(input.read_from(&mut source, InputPrecedence::First, now).unwrap(), InputStatus::Drained);
     let mut source = Source(SYNC);
-    assert_eq!(input.read_from(&mut source, false, now).unwrap(), InputStatus::Full);
+    assert_eq!(input.read_from(&mut source, InputPrecedence::AfterRefusals, now).unwrap(), InputStatus::Full);
     assert_eq!(source.0, SYNC);
 }
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -17,7 +17,7 @@
 //!   - [`deadline`]: the action expected from the client, and its deadline.
 //!     - [`excess_input`]: input that is not kept, whose queries are refused.
 //!     - [`waiting_queries`]: the queries in the input that wait for the running one.
-//! - [`cycle`], [`service_status`], [`error`], [`log_limiter`]: shared by several of these modules.
+//! - [`cycle`], [`rejection`], [`service_status`], [`error`], [`log_limiter`]: shared by several of these modules.
 
 mod acceptor;
 mod arrivals;
@@ -33,6 +33,7 @@
 mod log_limiter;
 mod output;
 mod protocol_state;
+mod rejection;
 mod service_status;
 mod session;
 mod socket;
--- a/src/net/frontend/output.rs
+++ b/src/net/frontend/output.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::error::MustClose;
+use super::rejection::Rejection;
 use crate::net::buffer::{MemoryBudget, RingBuffer};
 use crate::net::postgres::{self, sqlstate, Severity};
 use crate::net::{CancelKey, Response};
@@ -71,9 +72,7 @@
     pub(super) fn push_response(&mut self, response: Response) -> Result<(), MustClose> {
         match response {
             Response::Value(value) => self.push_value(value),
-            Response::Rejected { retry_after } => {
-                self.push_rejection(sqlstate::TOO_MANY_CONNECTIONS, "refused: try again later", retry_after)
-            }
+            Response::Rejected { retry_after } => self.push_rejection(Rejection::given_up(retry_after)),
             Response::Failed => self.push_error(sqlstate::SYSTEM_ERROR, "failed: it may have run"),
             Response::Cancelled => self.push_error(sqlstate::QUERY_CANCELED, "cancelled as its client asked"),
             Response::Invalid(reason) => {
@@ -89,15 +88,11 @@
 
     /// Rejects a query. The detail field of the error holds the Retry-After in milliseconds, rounded up. It
     /// is omitted if there is no Retry-After or if it is zero.
-    pub(super) fn push_rejection(
-        &mut self,
-        code: &str,
-        message: &str,
-        retry_after: Option<Duration>,
-    ) -> Result<(), MustClose> {
-        let milliseconds = retry_after.map(|duration| duration.as_nanos().div_ceil(NANOS_PER_MILLISECOND));
+    pub(super) fn push_rejection(&mut self, rejection: Rejection) -> Result<(), MustClose> {
+        let to_milliseconds = |duration: Duration| duration.as_nanos().div_ceil(NANOS_PER_MILLISECOND);
+        let milliseconds = rejection.retry_after.map(to_milliseconds);
         let detail = milliseconds.filter(|milliseconds| *milliseconds > 0).map(|number| number.to_string());
-        self.push_error_with_detail(code, message, detail.as_deref())
+        self.push_error_with_detail(rejection.code, rejection.message, detail.as_deref())
     }
 
     /// Responds to a message of the extended protocol with an error. ReadyForQuery follows only after the
--- a/src/net/frontend/session.rs
+++ b/src/net/frontend/session.rs
@@ -8,9 +8,10 @@
 
 use super::deadline::ExpectedAction;
 use super::error::MustClose;
-use super::input::{Input, InputStatus};
+use super::input::{Input, InputPrecedence, InputStatus};
 use super::output::{FlushStatus, Output};
 use super::protocol_state::{Phase, ProtocolState};
+use super::rejection::Rejection;
 use crate::counters::Counters;
 use crate::net::buffer::MemoryBudget;
 use crate::net::postgres::{sqlstate, StartupRequest};
@@ -132,7 +133,9 @@
         source: &mut impl Read,
         now: Instant,
     ) -> Result<InputStatus, MustClose> {
-        self.input.read_from(source, self.is_blocked(), now)
+        let precedence =
+            if self.is_blocked() { InputPrecedence::First } else { InputPrecedence::AfterRefusals };
+        self.input.read_from(source, precedence, now)
     }
 
     /// Refuses the queries that the input cannot hold while the session is blocked. Returns `true` if that
@@ -186,7 +189,7 @@
     /// Rejects an empty query that waits for an endpoint, since the pooler shuts down.
     pub(super) fn reject_waiting_empty_query(&mut self, drain: Drain) -> Result<(), MustClose> {
         self.state.finish_empty_query();
-        self.push_shutdown_rejection(drain)
+        self.output.push_rejection(Rejection::shutting_down(drain))
     }
 
     /// Closes the session of a client that has missed its deadline. An incomplete message is answered with an
@@ -229,10 +232,6 @@
         }
     }
 
-    fn push_shutdown_rejection(&mut self, drain: Drain) -> Result<(), MustClose> {
-        self.output.push_rejection(sqlstate::CANNOT_CONNECT_NOW, "shutting down", drain.retry_after())
-    }
-
     fn add_response_to_empty_query(&mut self) -> Result<(), MustClose> {
         self.state.finish_empty_query();
         self.output.push_empty_query_response()
--- a/src/net/frontend/session/messages.rs
+++ b/src/net/frontend/session/messages.rs
@@ -1,12 +1,11 @@
 //! Processes the messages of a client.
 
-use std::time::Duration;
-
 use super::Session;
 use crate::net::frontend::cycle::CycleContext;
 use crate::net::frontend::error::MustClose;
 use crate::net::frontend::excess_input::ExcessStep;
 use crate::net::frontend::protocol_state::Phase;
+use crate::net::frontend::rejection::Rejection;
 use crate::net::postgres::{
     self, sqlstate, ClientMessage, ClientMessageKind, ParsedQuery, ProtocolError, StartupRequest,
 };
@@ -53,8 +52,7 @@
             Ok(ExcessStep::Wait) => return Ok(MessageStatus::Blocked),
             Ok(ExcessStep::Refuse) => {
                 context.counters.rejected += 1;
-                let message = "too many queries at once";
-                self.output.push_rejection(sqlstate::TOO_MANY_CONNECTIONS, message, None)?;
+                self.output.push_rejection(Rejection::TOO_MANY_QUERIES)?;
             }
             Ok(ExcessStep::Close) => return Err(MustClose::ClientDisconnected),
             Err(error) => self.close_with_protocol_error(error, context)?,
@@ -163,7 +161,7 @@
     /// Lets an empty query wait for an endpoint. Rejects it during the shutdown, since it would block others.
     fn await_endpoints(&mut self, cycle: &CycleContext) -> Result<(), MustClose> {
         if let Some(drain) = cycle.service.drain() {
-            return self.push_shutdown_rejection(drain);
+            return self.output.push_rejection(Rejection::shutting_down(drain));
         }
         self.state.await_endpoints();
         Ok(())
@@ -175,12 +173,11 @@
         let received_at = self.input.message_received_at();
         let now = cycle.context.reactor.now();
         if let Some(drain) = cycle.service.rejecting_drain(received_at, now) {
-            let code = sqlstate::CANNOT_CONNECT_NOW;
-            return self.reject_query(&query.id, code, "shutting down", drain.retry_after(), cycle);
+            return self.reject_query(&query.id, Rejection::shutting_down(drain), cycle);
         }
         // The length of each statement is limited, but many statements together may exceed the memory budget.
         let Ok(memory) = self.input.reserve_memory(query.statement.text.len()) else {
-            return self.reject_query(&query.id, sqlstate::TOO_MANY_CONNECTIONS, "no memory", None, cycle);
+            return self.reject_query(&query.id, Rejection::NO_MEMORY, cycle);
         };
         query.statement.memory = Some(memory);
         query.id_claim = self.input.take_id_claim(&query.id, &cycle.context.request_ids);
@@ -193,13 +190,12 @@
     fn reject_query(
         &mut self,
         id: &str,
-        code: &str,
-        message: &str,
-        retry_after: Option<Duration>,
+        rejection: Rejection,
         cycle: &mut CycleContext,
     ) -> Result<(), MustClose> {
         cycle.context.counters.rejected += 1;
+        let Rejection { message, retry_after, .. } = rejection;
         tracing::info!(request = %id, reason = message, ?retry_after, "request rejected");
-        self.output.push_rejection(code, message, retry_after)
+        self.output.push_rejection(rejection)
     }
 }
