Name by what it says whether a watch was overtaken, and the descriptors of the process

A variable said 'requested later' of a watch that was requested before the list became newer, and a literal number of descriptors stood inside a sum. No change of behaviour; a function that only its module uses is private.

--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -219,8 +219,8 @@
     /// Rejects a list that is older than one that another watch has delivered since this one was opened.
     fn check_version(&mut self, id: ConnectionId, list: &EndpointList) -> Result<(), WatchError> {
         let requested_version = self.watches.get_mut(id).map(|watch| watch.requested_version());
-        let is_requested_later = requested_version.is_some_and(|requested| requested < self.list_version);
-        if is_requested_later && list.version < self.list_version {
+        let is_overtaken = requested_version.is_some_and(|requested| requested < self.list_version);
+        if is_overtaken && list.version < self.list_version {
             return Err(WatchError::Outdated);
         }
         Ok(())
--- a/src/net/discovery/open_watches.rs
+++ b/src/net/discovery/open_watches.rs
@@ -136,12 +136,12 @@
 
 /// Returns which of the unanswered watches to close, by their position in the order of opening, for one that
 /// is opened at `now`. Never the oldest, which a service that answers in order answers first.
-pub(super) fn redundant(opened_at: &[Instant], now: Instant) -> Option<usize> {
+fn redundant(opened_at: &[Instant], now: Instant) -> Option<usize> {
     let successors = opened_at.iter().skip(2).chain([&now]);
     let gap_without = |(before, after): (&Instant, &Instant)| after.saturating_duration_since(*before);
     let mut gaps = opened_at.iter().zip(successors).map(gap_without);
-    let is_any_left = opened_at.len() >= 2;
-    is_any_left.then(|| gaps.position(|gap| gap <= MAX_GAP).map_or(1, |before| before + 1))
+    let has_others = opened_at.len() >= 2;
+    has_others.then(|| gaps.position(|gap| gap <= MAX_GAP).map_or(1, |before| before + 1))
 }
 
 #[cfg(test)]
--- a/src/net/pooler/startup.rs
+++ b/src/net/pooler/startup.rs
@@ -26,9 +26,11 @@
 use crate::transient_error::{is_transient, retry};
 use crate::Policy;
 
-/// File descriptors used for standard streams, the listener, the poll instance, signals, answered watches of
-/// the endpoint list and anything that the process opens temporarily.
-const PROCESS_DESCRIPTORS: usize = 9 + MAX_ANSWERED_WATCHES;
+/// File descriptors used for standard streams, the listener, the poll instance, signals, and one that the
+/// process opens temporarily.
+const BASE_DESCRIPTORS: usize = 9;
+/// File descriptors used for these and for answered watches of the endpoint list.
+const PROCESS_DESCRIPTORS: usize = BASE_DESCRIPTORS + MAX_ANSWERED_WATCHES;
 /// Fewest file descriptors that are not available to connections of clients and to endpoints.
 const MIN_RESERVED_DESCRIPTORS: usize = 16;
 /// The reserved file descriptors, and one each for a client and an endpoint.
